--- /dev/null
+++ b/garnethitch.go
@@ -0,0 +1,64 @@
+// Package garnethitch is a cluster scheduler that survives the loss of its
+// controllers, machines and services. A program embeds it with New and Run;
+// cmd/garnethitch is such a program.
+package garnethitch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"runtime/debug"
+
+	"garnethitch/internal/config"
+	service "garnethitch/internal/runtime"
+)
+
+// Version of the program.
+const Version = "0.1.0"
+
+// Config says what to run.
+type Config struct {
+	// SettingsPath names the platform's settings file (TOML).
+	SettingsPath string
+	// OptionsPath names the operators' file (YAML); empty for the defaults.
+	OptionsPath string
+	// Log receives the log; nil discards it.
+	Log *slog.Logger
+}
+
+// Controller is one controller node, ready to run.
+type Controller struct {
+	rt  *service.Runtime
+	set config.Settings
+	opt config.Options
+}
+
+// New reads and checks the settings.
+func New(cfg Config) (*Controller, error) {
+	set, err := config.LoadSettings(cfg.SettingsPath)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	opt, err := config.LoadOptions(cfg.OptionsPath)
+	if err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	log := cfg.Log
+	if log == nil {
+		log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	}
+	return &Controller{rt: service.New(set, opt, log, rand.Uint64()), set: set, opt: opt}, nil
+}
+
+// Run serves until ctx ends or serving becomes impossible. It sets the
+// process's memory limit and its number of running threads from the settings.
+func (c *Controller) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(c.set.Cluster.Resources.RAMMB * c.opt.MemoryShare * (1 << 20)))
+	// One thread waits in evio's poll; a second keeps timers and calls from
+	// waiting until the scheduler notices.
+	runtime.GOMAXPROCS(2)
+	return c.rt.Run(ctx)
+}
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,210 @@
+// Package client makes outbound HTTP/1.1 calls: one request at a time on a
+// connection, connections kept and bounded per address, a deadline on every
+// call. It never retries: whoever calls knows whether that is harmless.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"garnethitch/internal/http1"
+)
+
+// Config bounds a client.
+type Config struct {
+	MaxIdle     int // kept connections per address
+	MaxConns    int // open connections over all addresses
+	MaxBody     int // bytes of a response body
+	IdleTimeout time.Duration
+	DialTimeout time.Duration
+	Dial        func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// ErrNotSent marks calls of which not a byte was sent.
+var ErrNotSent = errors.New("client: not sent")
+
+// ErrBusy means that the bound on connections is reached.
+var ErrBusy = errors.New("client: no connection free")
+
+// Client is safe for use by many goroutines.
+type Client struct {
+	cfg  Config
+	mu   sync.Mutex
+	open int
+	idle map[string][]*idleConn
+}
+
+type idleConn struct {
+	net.Conn
+	since time.Time
+}
+
+// New makes a client.
+func New(cfg Config) *Client {
+	if cfg.Dial == nil {
+		d := &net.Dialer{KeepAlive: -1}
+		cfg.Dial = d.DialContext
+	}
+	return &Client{cfg: cfg, idle: map[string][]*idleConn{}}
+}
+
+// Call is one request.
+type Call struct {
+	Addr, Method, Target, ContentType string
+	Body                              []byte
+	Timeout                           time.Duration
+	MaxBody                           int // 0: the client's
+}
+
+// Do makes the call and reads the whole response.
+func (c *Client) Do(ctx context.Context, call Call) (http1.Message, error) {
+	deadline := time.Now().Add(call.Timeout)
+	conn, err := c.get(ctx, call.Addr, deadline)
+	if err != nil {
+		return http1.Message{}, fmt.Errorf("%w: %s: %w", ErrNotSent, call.Addr, err)
+	}
+	msg, err := c.exchange(conn, call, deadline)
+	if err != nil || msg.Close {
+		c.drop(conn)
+	} else {
+		c.put(call.Addr, conn)
+	}
+	if err != nil {
+		return msg, fmt.Errorf("%s %s: %w", call.Method, call.Target, err)
+	}
+	return msg, nil
+}
+
+func (c *Client) exchange(conn net.Conn, call Call, deadline time.Time) (http1.Message, error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return http1.Message{}, err
+	}
+	req := http1.AppendRequest(make([]byte, 0, 256+len(call.Body)), call.Method, call.Target, call.Addr, call.ContentType, call.Body)
+	if _, err := conn.Write(req); err != nil {
+		return http1.Message{}, err
+	}
+	maxBody := call.MaxBody
+	if maxBody == 0 {
+		maxBody = c.cfg.MaxBody
+	}
+	lim := http1.Limits{Head: 8 << 10, Body: maxBody}
+	buf := make([]byte, 0, 2048)
+	for {
+		if len(buf) == cap(buf) {
+			bigger := make([]byte, len(buf), 2*cap(buf))
+			copy(bigger, buf)
+			buf = bigger
+		}
+		n, err := conn.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if n > 0 {
+			msg, used, perr := http1.ParseResponse(buf, lim)
+			switch {
+			case perr == nil:
+				if used != len(buf) {
+					msg.Close = true // something we did not ask for follows
+				}
+				return msg, nil
+			case !errors.Is(perr, http1.ErrShort):
+				return msg, perr
+			}
+		}
+		if err != nil {
+			return http1.Message{}, err
+		}
+	}
+}
+
+// get takes the most recently used kept connection, or dials.
+func (c *Client) get(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
+	now := time.Now()
+	c.mu.Lock()
+	kept := c.idle[addr]
+	for len(kept) > 0 {
+		ic := kept[len(kept)-1]
+		kept = kept[:len(kept)-1]
+		c.idle[addr] = kept
+		if now.Sub(ic.since) <= c.cfg.IdleTimeout {
+			c.mu.Unlock()
+			return ic.Conn, nil
+		}
+		c.open--
+		ic.Close()
+	}
+	if c.open >= c.cfg.MaxConns {
+		c.mu.Unlock()
+		return nil, ErrBusy
+	}
+	c.open++
+	c.mu.Unlock()
+	limit := now.Add(c.cfg.DialTimeout)
+	if deadline.Before(limit) {
+		limit = deadline
+	}
+	dctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	conn, err := c.cfg.Dial(dctx, "tcp4", addr)
+	if err != nil {
+		c.mu.Lock()
+		c.open--
+		c.mu.Unlock()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (c *Client) drop(conn net.Conn) {
+	conn.Close()
+	c.mu.Lock()
+	c.open--
+	c.mu.Unlock()
+}
+
+func (c *Client) put(addr string, conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[addr]) >= c.cfg.MaxIdle {
+		conn.Close()
+		c.open--
+		return
+	}
+	c.idle[addr] = append(c.idle[addr], &idleConn{conn, time.Now()})
+}
+
+// Sweep closes connections that were kept too long.
+func (c *Client) Sweep() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, kept := range c.idle {
+		live := kept[:0]
+		for _, ic := range kept {
+			if now.Sub(ic.since) > c.cfg.IdleTimeout {
+				ic.Close()
+				c.open--
+				continue
+			}
+			live = append(live, ic)
+		}
+		if len(live) == 0 {
+			delete(c.idle, addr)
+		} else {
+			c.idle[addr] = live
+		}
+	}
+}
+
+// Forget closes the kept connections to an address.
+func (c *Client) Forget(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, ic := range c.idle[addr] {
+		ic.Close()
+		c.open--
+	}
+	delete(c.idle, addr)
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,379 @@
+// Package core decides everything that a controller does. It is a state
+// machine: Step takes the time and one input and returns what to send and
+// answer. It does no I/O, reads no clock, starts no goroutine and draws its
+// random numbers from the seed it was given.
+package core
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// Team is a team's guarantee and limit; Infinity-free: 0 in a limit is none.
+type Team struct {
+	Name                         string
+	CPUs, CPUsMax, GPUs, GPUsMax float64
+}
+
+// Config is all that a core knows from settings.
+type Config struct {
+	Label  string
+	Peers  []string // labels of the other controllers
+	Shares int
+	Teams  []Team
+	Zones  []string
+
+	Lease       micros.Micros // ours, in the state service
+	ReportEvery micros.Micros
+	WorkerLease micros.Micros
+	Cancel      micros.Micros
+
+	StateRPS, WriteRPS float64 // the whole service's; the core keeps to its part
+	ValueBytes         int
+	TxnOps             int
+	CloudRPS           float64
+	ListLag            micros.Micros
+
+	SilentReturn micros.Micros // 0: never
+	DrainHorizon micros.Micros
+	IdleReturn   micros.Micros
+	Quarantine   micros.Micros
+	MaxMachines  int
+
+	// Urgent holds the classes whose tasks are wanted started within a time.
+	Urgent map[string]micros.Micros
+}
+
+// Instant is a reading of both clocks.
+type Instant struct {
+	Steady micros.Micros
+	Wall   micros.Micros // time of day
+}
+
+// ReplyID names a request that waits for its answer.
+type ReplyID uint64
+
+// Inputs of Step.
+type (
+	// Tick says that time has passed.
+	Tick struct{}
+	// Submit is a user's submission, parsed; Err is set if it is malformed.
+	Submit struct {
+		Reply ReplyID
+		Job   wire.Submission
+		Err   *wire.SubmissionError
+	}
+	// Poll asks for a job's state.
+	Poll struct {
+		Reply ReplyID
+		ID    string
+	}
+	// Withdraw cancels a job.
+	Withdraw struct {
+		Reply ReplyID
+		ID    string
+	}
+	// Ready asks whether this node can take requests.
+	Ready struct{ Reply ReplyID }
+	// Checkin is a worker's report.
+	Checkin struct {
+		Reply  ReplyID
+		Report wire.Report
+	}
+	// PeerMessage is a request of another controller.
+	PeerMessage struct {
+		Reply ReplyID
+		Req   peer.Request
+	}
+	// Result ends a Call. Status 0: no usable answer; NotSent: and not a byte
+	// of the request has left.
+	Result struct {
+		ID      uint64
+		Status  int
+		Body    any
+		NotSent bool
+	}
+)
+
+// Target of a Call.
+type Target int
+
+// Targets.
+const (
+	ToState Target = iota
+	ToCloud
+	ToWorker
+	ToPeer
+)
+
+// Requests that are not bodies of package wire.
+type (
+	// GetKey reads a key.
+	GetKey struct{ Key string }
+	// ListKeys reads a page of keys.
+	ListKeys struct {
+		Prefix, After string
+		Limit         int
+	}
+	// Watch waits for changes.
+	Watch struct {
+		Prefix string
+		Since  uint64
+		WaitMS int64
+	}
+	// RenewLease extends a lease.
+	RenewLease struct{ Lease uint64 }
+	// GetTypes asks the cloud for machine types.
+	GetTypes struct{}
+	// ListMachines asks the cloud for machines.
+	ListMachines struct {
+		After string
+		Limit int
+	}
+	// ReturnMachines gives machines back.
+	ReturnMachines struct{ Machines []string }
+	// Show asks a worker for its report.
+	Show struct{}
+)
+
+// Effects of Step.
+type (
+	// Answer answers a request. Body is a wire or peer value, or nil.
+	Answer struct {
+		Reply       ReplyID
+		Status      int
+		Body        any
+		RetryAfterS int
+	}
+	// Call sends a request; its Result must come back exactly once.
+	Call struct {
+		ID      uint64
+		To      Target
+		Addr    string // workers: address; peers: label
+		Req     any
+		Timeout micros.Micros
+	}
+	// Log is a line for the operators.
+	Log struct {
+		Level Level
+		Text  string
+		Args  []any
+	}
+)
+
+// Level of a log line.
+type Level int
+
+// Levels.
+const (
+	Debug Level = iota
+	Info
+	Error
+)
+
+// Effect is an Answer, a Call or a Log.
+type Effect any
+
+// Input is one of the input types above.
+type Input any
+
+// Core is the state of one controller.
+type Core struct {
+	cfg    Config
+	bounds Bounds
+	rng    *rand.Rand
+
+	now, wall micros.Micros
+	began     micros.Micros
+	out       []Effect
+	deferred  []func()
+	calls     map[uint64]func(Result)
+	nextCall  uint64
+	wake      micros.Micros
+	lastHouse micros.Micros
+
+	stateq stateQueue
+	own    ownership
+	jobs   jobTable
+	fleet  fleet
+	peers  map[string]*peerView
+	mach   map[string]*machine
+	types  map[string]wire.MachineType
+	hosts  typeIndex
+	runs   estimates
+	heard  map[string]micros.Micros // machines that reported here but belong elsewhere
+
+	teamOf   map[string]int
+	shareOf  []int // by team; nil when jobs are parted
+	attempts uint64
+	dirty    bool // placement has something to look at
+	schedAt  micros.Micros
+}
+
+// New makes a core. Equal seeds and inputs give equal effects.
+func New(cfg Config, seed uint64) *Core {
+	c := &Core{
+		cfg:    cfg,
+		bounds: NewBounds(cfg.Lease, cfg.WorkerLease, cfg.Cancel),
+		rng:    rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		calls:  map[uint64]func(Result){},
+		peers:  map[string]*peerView{},
+		mach:   map[string]*machine{},
+		types:  map[string]wire.MachineType{},
+		heard:  map[string]micros.Micros{},
+		teamOf: map[string]int{},
+		began:  -1,
+	}
+	nodes := float64(len(cfg.Peers) + 1)
+	c.stateq.requests = newBucket(cfg.StateRPS * 0.95 / nodes)
+	c.stateq.writes = newBucket(cfg.WriteRPS * 0.95 / nodes)
+	for i, t := range cfg.Teams {
+		c.teamOf[t.Name] = i
+	}
+	c.shareOf = PartTeams(cfg.Teams, cfg.Shares)
+	c.own.init(cfg.Shares)
+	c.jobs.init()
+	c.fleet.init(cfg)
+	c.runs.init()
+	for _, p := range cfg.Peers {
+		c.peers[p] = &peerView{label: p, heardAt: -micros.Never}
+	}
+	return c
+}
+
+// Step takes one input at an instant and returns what follows from it.
+func (c *Core) Step(at Instant, in Input) []Effect {
+	c.now, c.wall = max(c.now, at.Steady), at.Wall
+	if c.began < 0 {
+		c.began = c.now
+		c.stateq.requests.at, c.stateq.writes.at, c.fleet.budget.at = c.now, c.now, c.now
+		c.lastHouse = c.now - micros.Second
+	}
+	c.wake = c.lastHouse + housekeeping
+	switch v := in.(type) {
+	case Tick:
+	case Submit:
+		c.submit(v)
+	case Poll:
+		c.poll(v)
+	case Withdraw:
+		c.withdraw(v)
+	case Ready:
+		c.ready(v)
+	case Checkin:
+		c.checkin(v)
+	case PeerMessage:
+		c.peerMessage(v)
+	case Result:
+		if done, ok := c.calls[v.ID]; ok {
+			delete(c.calls, v.ID)
+			done(v)
+		}
+	}
+	if c.now-c.lastHouse >= housekeeping {
+		c.lastHouse = c.now
+		c.wake = c.now + housekeeping
+		c.house()
+	}
+	c.runDeferred()
+	c.place()
+	c.runDeferred()
+	c.drainState()
+	c.runDeferred()
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// housekeeping is how often time alone is looked at.
+const housekeeping = 100 * micros.Millisecond
+
+// Wake says when Step wants to be called at the latest.
+func (c *Core) Wake() micros.Micros { return c.wake }
+
+func (c *Core) wakeIn(d micros.Micros) { c.wake = min(c.wake, c.now+max(d, micros.Millisecond)) }
+
+// later runs f at the end of the step: callers of a queued request must not
+// find themselves called back before they have returned.
+func (c *Core) later(f func()) { c.deferred = append(c.deferred, f) }
+
+func (c *Core) runDeferred() {
+	for len(c.deferred) > 0 {
+		d := c.deferred
+		c.deferred = nil
+		for _, f := range d {
+			f()
+		}
+	}
+}
+
+func (c *Core) call(call Call, done func(Result)) {
+	c.nextCall++
+	call.ID = c.nextCall
+	c.calls[call.ID] = done
+	c.out = append(c.out, call)
+}
+
+func (c *Core) answer(r ReplyID, status int, body any, retryAfter int) {
+	c.out = append(c.out, Answer{Reply: r, Status: status, Body: body, RetryAfterS: retryAfter})
+}
+
+func (c *Core) log(l Level, text string, args ...any) {
+	c.out = append(c.out, Log{Level: l, Text: text, Args: args})
+}
+
+// house does what time alone brings.
+func (c *Core) house() {
+	c.houseOwnership()
+	c.housePeers()
+	c.houseMachines()
+	c.houseJobs()
+	c.houseFleet()
+}
+
+// jitter spreads d by up to a quarter either way.
+func (c *Core) jitter(d micros.Micros) micros.Micros {
+	return d*3/4 + micros.Micros(c.rng.Int64N(int64(d/2)+1))
+}
+
+// PartTeams gives each team's share, or nil if jobs are parted instead: there
+// is just one team, and it has no limit (a limit can be kept only in one
+// place). Teams go to shares by size of guarantee, the largest first, each to
+// the share with the least so far, so that every node parts them alike.
+func PartTeams(teams []Team, shares int) []int {
+	if len(teams) == 1 && teams[0].CPUsMax == 0 && teams[0].GPUsMax == 0 {
+		return nil
+	}
+	order := make([]int, len(teams))
+	for i := range order {
+		order[i] = i
+	}
+	weight := func(t Team) float64 { return t.CPUs + 8*t.GPUs }
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch wa, wb := weight(teams[a]), weight(teams[b]); {
+		case wa > wb:
+			return -1
+		case wa < wb:
+			return 1
+		}
+		return 0
+	})
+	load, count := make([]float64, shares), make([]int, shares)
+	out := make([]int, len(teams))
+	for _, t := range order {
+		best := 0
+		for s := 1; s < shares; s++ {
+			if load[s] < load[best] || (load[s] == load[best] && count[s] < count[best]) {
+				best = s
+			}
+		}
+		out[t] = best
+		load[best] += weight(teams[t])
+		count[best]++
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/fence.go
@@ -0,0 +1,56 @@
+package core
+
+import "garnethitch/internal/micros"
+
+// driftPPM is how far two steady clocks may part, in millionths: each runs up
+// to 0.05% fast.
+const driftPPM = 500
+
+// Bounds are the times that keep an old owner and its successor apart. They
+// are worked out here and nowhere else, from settings alone.
+type Bounds struct {
+	// Answer: after the last successful renewal was sent, an owner may answer
+	// users from memory, take on jobs and record for this long.
+	Answer micros.Micros
+	// Command: for this long it may answer reports and command its machines.
+	Command micros.Micros
+	// WorkerGone: a machine whose last answered report was answered this long
+	// ago holds no task any more.
+	WorkerGone micros.Micros
+	// SuccessorFree: a machine that a new owner has not heard of since its
+	// claim was confirmed this long ago holds no task any more.
+	SuccessorFree micros.Micros
+}
+
+// stretch adds what drift can take away over a span, for both clocks involved.
+func stretch(d micros.Micros) micros.Micros { return d + d*2*driftPPM/1_000_000 + 1 }
+
+// shrink takes away what drift can add.
+func shrink(d micros.Micros) micros.Micros { return d - d*2*driftPPM/1_000_000 - 1 }
+
+// NewBounds works the bounds out. lease is the controllers' lease in the state
+// service, workerLease and cancel are the workers' settings.
+//
+// A successor can own a share no earlier than the end of the old owner's lease,
+// and could tell a user "cancelled" from then on. The old owner's machines
+// must be rid of the job within cancel after that: they keep it for at most
+// workerLease after the last answer, so the old owner may go on answering for
+// extra = cancel - workerLease - margin, and no longer.
+func NewBounds(lease, workerLease, cancel micros.Micros) Bounds {
+	const margin = 3 * micros.Second
+	const slip = 100 * micros.Millisecond // a step of a timer, an answer on its way out
+	extra := cancel - stretch(workerLease) - margin
+	if extra < 0 {
+		extra = 0
+	}
+	answer := shrink(lease) - slip
+	if answer < 0 {
+		answer = 0
+	}
+	return Bounds{
+		Answer:        answer,
+		Command:       answer + extra,
+		WorkerGone:    stretch(workerLease) + slip,
+		SuccessorFree: stretch(extra+workerLease) + 3*slip,
+	}
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,858 @@
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// fleet is the leader's work: renting, returning and homing machines. It
+// places no tasks.
+type fleet struct {
+	budget bucket
+	dirty  bool
+
+	typesAt   micros.Micros
+	typesBusy bool
+	typesRaw  []byte // as last written
+
+	ledAt     micros.Micros
+	listBusy  bool
+	listNext  micros.Micros
+	listFrom  micros.Micros // when the listing under way began
+	pages     map[string]wire.ListedMachine
+	after     string
+	listed    map[string]wire.ListedMachine
+	listedAt  micros.Micros // when the last whole listing began; 0: none yet
+	missing   map[string]micros.Micros
+	rented    map[string]*rented
+	hires     uint64
+	hire      *hire
+	refused   map[kind]*refusal
+	homing    map[string]bool
+	homedCPUs map[int]float64 // sent to a share of late, not in its demand yet
+	homedAt   micros.Micros
+	returning map[string]bool
+	returned  map[string]micros.Micros // the cloud has confirmed it
+	asked     map[string]micros.Micros // releases asked for
+	planNext  micros.Micros
+}
+
+// kind is what capacity is counted by.
+type kind struct {
+	typ, zone string
+	spot      bool
+}
+
+type rented struct {
+	kind
+	at micros.Micros
+}
+
+// hire is a rental under way. It is sent again, under the same name, until the
+// cloud has answered: it may have been carried out.
+type hire struct {
+	req    wire.Rental
+	next   micros.Micros
+	busy   bool
+	leader uint64
+}
+
+type refusal struct {
+	until, pause micros.Micros
+}
+
+func (f *fleet) init(cfg Config) {
+	f.budget = newBucket(cfg.CloudRPS * 0.8)
+	f.reset()
+	f.typesAt = -micros.Never
+}
+
+func (f *fleet) reset() {
+	f.pages, f.listed, f.listedAt, f.after, f.listBusy = nil, nil, 0, "", false
+	f.missing = map[string]micros.Micros{}
+	f.rented = map[string]*rented{}
+	f.refused = map[kind]*refusal{}
+	f.homing = map[string]bool{}
+	f.homedCPUs = map[int]float64{}
+	f.returning = map[string]bool{}
+	f.returned = map[string]micros.Micros{}
+	f.asked = map[string]micros.Micros{}
+	f.hire = nil
+}
+
+func (c *Core) startLeading() {
+	c.fleet.reset()
+	c.fleet.ledAt = c.now
+	c.fleet.planNext = c.now
+	c.log(Info, "leading the fleet", "mark", c.own.leader.mark)
+}
+
+// askCloud sends a request if the budget allows; false if not now.
+func (c *Core) askCloud(req any, timeout micros.Micros, done func(Result)) bool {
+	b := &c.fleet.budget
+	b.fill(c.now)
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	c.call(Call{To: ToCloud, Req: req, Timeout: timeout}, done)
+	return true
+}
+
+const cloudTimeout = 4 * micros.Second
+
+func (c *Core) houseFleet() {
+	c.houseTypes()
+	if !c.leading() {
+		return
+	}
+	c.houseList()
+	f := &c.fleet
+	if f.hire != nil {
+		c.sendHire()
+	}
+	if c.now < f.planNext {
+		return
+	}
+	f.planNext = c.now + micros.Second
+	c.collect()
+	if f.listedAt != 0 && len(c.types) > 0 {
+		c.plan()
+	}
+}
+
+// houseTypes keeps the machine types known: the leader asks the cloud and
+// leaves them in the state service for the others, so that a node that starts
+// during an outage of the cloud knows them too.
+func (c *Core) houseTypes() {
+	f := &c.fleet
+	every := 30 * micros.Second
+	if len(c.types) == 0 {
+		every = micros.Second
+		if !c.own.ctl.ready {
+			return
+		}
+	} else if !c.leading() {
+		return
+	}
+	if f.typesBusy || c.now < f.typesAt+every {
+		return
+	}
+	f.typesBusy = c.askCloud(GetTypes{}, cloudTimeout, func(r Result) {
+		f.typesBusy = false
+		f.typesAt = c.now
+		if body, ok := r.Body.(*wire.MachineTypes); ok && r.Status == 200 {
+			c.learnTypes(*body, true)
+		}
+	})
+}
+
+// learnTypes takes machine types; ones that make no sense are left out.
+func (c *Core) learnTypes(mt wire.MachineTypes, fromCloud bool) {
+	types := map[string]wire.MachineType{}
+	for _, t := range mt.Types {
+		if t.Name == "" || !(t.CPUs >= 0) || !(t.GPUs >= 0) || !(t.MemGB >= 0) || !(t.Price >= 0) || !(t.SpotPrice >= 0) || len(types) >= 1000 {
+			continue
+		}
+		slices.Sort(t.Zones)
+		t.Zones = slices.Compact(t.Zones)
+		types[t.Name] = t
+	}
+	if len(types) == 0 || !fromCloud && len(c.types) > 0 && c.leading() {
+		return
+	}
+	c.types = types
+	c.hosts.names = sortedKeys(types)
+	c.dirty = true
+	if !fromCloud || !c.leading() {
+		return
+	}
+	value, err := wire.Encode(mt)
+	if err != nil || string(value) == string(c.fleet.typesRaw) || len(value) > c.cfg.ValueBytes {
+		return
+	}
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: wire.KeyLeader, Version: c.own.leader.mark}},
+		Then: []wire.Change{{Put: wire.KeyTypes, Value: value}},
+	}
+	c.askState(prioFleet, txn, 2*micros.Second, func(r Result) {
+		if r.Status == 200 {
+			c.fleet.typesRaw = value
+		}
+	})
+}
+
+// houseList keeps the cloud's list of machines.
+func (c *Core) houseList() {
+	f := &c.fleet
+	if f.listBusy || c.now < f.listNext {
+		return
+	}
+	if f.after == "" {
+		f.pages, f.listFrom = map[string]wire.ListedMachine{}, c.now
+	}
+	mark := c.own.leader.mark
+	f.listBusy = c.askCloud(ListMachines{After: f.after, Limit: 500}, cloudTimeout, func(r Result) {
+		if c.own.leader.mark != mark {
+			return
+		}
+		f.listBusy = false
+		body, ok := r.Body.(*wire.MachineList)
+		if !ok || r.Status != 200 {
+			f.after, f.listNext = "", c.now+micros.Second
+			return
+		}
+		for _, m := range body.Machines {
+			f.pages[m.ID] = m
+			f.after = m.ID
+		}
+		if body.More && len(body.Machines) > 0 {
+			return
+		}
+		f.listed, f.listedAt, f.after, f.pages = f.pages, f.listFrom, "", nil
+		f.listNext = c.now + max(c.cfg.ListLag/2, 2*micros.Second)
+		c.compareList()
+	})
+}
+
+// compareList notes which machines on record the cloud no longer lists.
+func (c *Core) compareList() {
+	f := &c.fleet
+	for _, id := range sortedKeys(c.mach) {
+		if _, ok := f.listed[id]; ok {
+			delete(f.missing, id)
+		} else if f.missing[id] == 0 {
+			f.missing[id] = c.now
+		}
+	}
+	for id := range f.missing {
+		if c.mach[id] == nil {
+			delete(f.missing, id)
+		}
+	}
+	for id, at := range f.returned {
+		if c.now-at > 10*micros.Minute {
+			delete(f.returned, id)
+		}
+	}
+}
+
+// unknownMachine deals with the report of a machine without a record: the
+// leader gives it a home first.
+func (c *Core) unknownMachine(in Checkin) {
+	rep := &in.Report
+	f := &c.fleet
+	if !c.leading() {
+		c.redirect(in.Reply, &c.own.leader)
+		return
+	}
+	if _, over := f.returned[rep.Machine]; over || f.homing[rep.Machine] || f.returning[rep.Machine] ||
+		len(c.types) == 0 || !wire.UsableKey(wire.MachineKey(rep.Machine)) || !c.own.ctl.ready {
+		c.answer(in.Reply, 503, nil, 0)
+		return
+	}
+	s := c.homeFor(rep.Type)
+	if s == nil {
+		c.answer(in.Reply, 503, nil, 0)
+		return
+	}
+	rec := wire.MachineRecord{Share: s.id, Addr: rep.Addr, Type: rep.Type, Zone: rep.Zone, Spot: rep.Spot}
+	value, err := wire.Encode(rec)
+	if err != nil {
+		c.answer(in.Reply, 503, nil, 0)
+		return
+	}
+	f.homing[rep.Machine] = true
+	f.homedCPUs[s.id] += c.types[rep.Type].CPUs
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: wire.MachineKey(rep.Machine), Version: 0}, {Key: wire.KeyLeader, Version: c.own.leader.mark}},
+		Then: []wire.Change{{Put: wire.MachineKey(rep.Machine), Value: value}},
+	}
+	c.askState(prioFleet, txn, 1500*micros.Millisecond, func(r Result) {
+		delete(f.homing, rep.Machine)
+		body, ok := r.Body.(*wire.Revision)
+		if !ok || r.Status != 200 {
+			c.answer(in.Reply, 503, nil, 0)
+			return
+		}
+		c.log(Info, "machine homed", "machine", rep.Machine, "share", s.id, "type", rep.Type, "zone", rep.Zone, "spot", rep.Spot)
+		c.setMachine(rep.Machine, rec, body.Revision)
+		c.checkin(in)
+	})
+}
+
+// homeFor chooses the share for a new machine: the one whose work would
+// otherwise take longest.
+func (c *Core) homeFor(typ string) *share {
+	demand := c.allDemand()
+	cpus := map[int]float64{}
+	for _, m := range c.mach {
+		if !m.rec.Retiring {
+			cpus[m.rec.Share] += c.types[m.rec.Type].CPUs
+		}
+	}
+	var best *share
+	bestNeed := -1.0
+	for _, s := range c.own.shares {
+		work, guarantee := 0.0, 0.0
+		if d := demand[s.id]; d != nil {
+			work, guarantee = workOf(d), d.Guarantee
+		}
+		need := (work + 30*guarantee + 60) / (cpus[s.id] + c.types[typ].CPUs)
+		if need > bestNeed {
+			best, bestNeed = s, need
+		}
+	}
+	return best
+}
+
+// workOf is all unfinished work of a share, in CPU seconds.
+func workOf(d *peer.Demand) float64 {
+	work := micros.Micros(d.RunLeftUS).Seconds()
+	for _, g := range d.Groups {
+		work += micros.Micros(g.WorkUS).Seconds() * g.CPUs
+	}
+	return work
+}
+
+// demands tells what the shares of this node want.
+func (c *Core) demands() []peer.Demand {
+	var out []peer.Demand
+	for _, s := range c.own.shares {
+		if c.acting(s.id) == nil {
+			continue
+		}
+		d := peer.Demand{Share: s.id, ArrivalCPUs: s.arrivals.rate(c.now)}
+		for i, t := range c.cfg.Teams {
+			if c.shareOf != nil && c.shareOf[i] == s.id {
+				d.Guarantee += t.CPUs
+			}
+		}
+		rooms, used := c.rooms(s)
+		for _, r := range rooms {
+			v, mt := r.m.v, c.types[r.m.rec.Type]
+			state, since := 0, micros.Micros(0)
+			switch {
+			case v.gone || c.now-max(v.heard, v.since) > c.silence()+c.cfg.ReportEvery:
+				state, since = peer.MachineSilent, c.now-max(v.heard, v.since)
+			case v.sick && c.now < v.asideUntil || v.takenAt != 0 || c.slowness(r.m) > 0.4 && v.slowN > 3:
+				state = peer.MachineBad
+				if v.sick || v.takenAt != 0 {
+					state = peer.MachineBad
+				}
+			case !v.settled:
+			case len(v.slots) == 0:
+				state, since = peer.MachineIdle, c.now-v.idleAt
+			default:
+				state = peer.MachineBusy
+			}
+			if state != peer.MachineSilent && state != peer.MachineBad {
+				d.CPUs += mt.CPUs
+				d.Busy += mt.CPUs - max(r.cpus, 0)
+			}
+			if state != 0 && state != peer.MachineBusy {
+				d.Machines = append(d.Machines, peer.Machine{ID: r.m.id, State: state, SinceUS: int64(since)})
+			}
+			for _, sl := range v.slots {
+				if sl.job != nil && sl.state != slotExited {
+					left := c.runs.expect(sl.job.sub)
+					if sl.runAt > 0 {
+						left = max(left-(c.now-sl.runAt), left/10)
+					}
+					d.RunLeftUS += int64(float64(left) * sl.job.sub.CPUs)
+				}
+			}
+		}
+		d.Groups = c.groups(s, used)
+		out = append(out, d)
+	}
+	return out
+}
+
+// groups gathers a share's waiting tasks by what they need. A team's tasks
+// beyond its limit are not counted: machines would not help them.
+func (c *Core) groups(s *share, used []usage) []peer.Group {
+	type key struct {
+		zone, types string
+		spot        bool
+		cpus, gpus  float64
+		prio        int
+	}
+	at := map[key]int{}
+	var out []peer.Group
+	rooms := make([]float64, len(used))
+	for i, t := range c.cfg.Teams {
+		rooms[i] = math.Inf(1)
+		if t.CPUsMax > 0 {
+			rooms[i] = t.CPUsMax - used[i].cpus
+		}
+	}
+	for _, id := range sortedKeys(c.jobs.open) {
+		j := c.jobs.open[id]
+		if j.share != s.id || j.run == nil || !j.run.ready || j.run.want != "" || j.run.probeAt != 0 {
+			continue
+		}
+		n := j.pending()
+		if n <= 0 {
+			continue
+		}
+		fit := n
+		if j.sub.CPUs > 0 {
+			if room := rooms[j.team] / j.sub.CPUs; room < float64(n) {
+				fit = max(int(room), 0)
+			}
+			rooms[j.team] -= float64(fit) * j.sub.CPUs
+		}
+		k := key{zone: j.sub.Zone, types: fmt.Sprint(j.sub.Types), spot: j.sub.Spot, cpus: j.sub.CPUs, gpus: j.sub.GPUs, prio: j.priority}
+		i, ok := at[k]
+		if !ok {
+			if len(out) >= 32 {
+				continue
+			}
+			i = len(out)
+			at[k] = i
+			out = append(out, peer.Group{Types: j.sub.Types, Any: j.sub.Types == nil, Zone: j.sub.Zone, Spot: j.sub.Spot,
+				CPUs: j.sub.CPUs, GPUs: j.sub.GPUs, MemGB: j.sub.MemGB, Priority: j.priority})
+		}
+		out[i].Waiting += fit
+		out[i].WorkUS += int64(n) * int64(c.runs.expect(j.sub))
+		out[i].MemGB = max(out[i].MemGB, j.sub.MemGB)
+	}
+	return out
+}
+
+// allDemand is the newest demand of every share.
+func (c *Core) allDemand() map[int]*peer.Demand {
+	out := map[int]*peer.Demand{}
+	for _, label := range c.cfg.Peers {
+		p := c.peers[label]
+		if c.now-p.demAt > 5*micros.Second {
+			continue
+		}
+		for i := range p.demand {
+			if s := p.demand[i].Share; s >= 0 && s < len(c.own.shares) && c.own.shares[s].rec.Label == label {
+				out[s] = &p.demand[i]
+			}
+		}
+	}
+	own := c.demands()
+	for i := range own {
+		out[own[i].Share] = &own[i]
+	}
+	return out
+}
+
+// collect returns machines that are of no use any more.
+func (c *Core) collect() {
+	f := &c.fleet
+	var back []string
+	for _, id := range sortedKeys(c.mach) {
+		m := c.mach[id]
+		l, ok := f.listed[id]
+		switch {
+		case f.returned[id] != 0:
+			c.deleteRecord(m)
+		case m.rec.Retiring:
+			back = append(back, id)
+		case ok && l.State == wire.MachineFailed:
+			back = append(back, id)
+		case !ok && f.listedAt != 0 && f.missing[id] != 0 && c.now-f.missing[id] > 2*c.cfg.ListLag+micros.Second && c.silentSays(id):
+			back = append(back, id)
+		}
+	}
+	for _, id := range sortedKeys(f.listed) {
+		l := f.listed[id]
+		if c.mach[id] != nil || f.returned[id] != 0 {
+			continue
+		}
+		boot := micros.FromSeconds(c.types[l.Type].BootS)
+		age := micros.FromSeconds(l.AgeS) + (c.now - f.listedAt)
+		switch {
+		case l.State == wire.MachineFailed:
+			back = append(back, id)
+		case l.State == wire.MachineBooting && age > max(4*boot, boot+45*micros.Second):
+			c.log(Info, "machine does not come up, returned", "machine", id)
+			back = append(back, id)
+		}
+	}
+	c.returnMachines(back)
+}
+
+// silentSays: the share's owner has not heard the machine for a while.
+func (c *Core) silentSays(id string) bool {
+	for _, d := range c.allDemand() {
+		for _, m := range d.Machines {
+			if m.ID == id && m.State == peer.MachineSilent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Core) returnMachines(ids []string) {
+	f := &c.fleet
+	var send []string
+	for _, id := range ids {
+		if !f.returning[id] && f.returned[id] == 0 && len(send) < 100 {
+			send = append(send, id)
+		}
+	}
+	if len(send) == 0 {
+		return
+	}
+	mark := c.own.leader.mark
+	sent := c.askCloud(ReturnMachines{Machines: send}, cloudTimeout, func(r Result) {
+		if c.own.leader.mark != mark {
+			return
+		}
+		for _, id := range send {
+			delete(f.returning, id)
+			if r.Status != 200 {
+				continue
+			}
+			f.returned[id] = c.now
+			delete(f.rented, id)
+			if m := c.mach[id]; m != nil {
+				c.deleteRecord(m)
+			}
+		}
+	})
+	if sent {
+		c.log(Info, "returning machines", "machines", send)
+		for _, id := range send {
+			f.returning[id] = true
+		}
+	}
+}
+
+// deleteRecord takes a machine off the record once the cloud has confirmed
+// that it is gone.
+func (c *Core) deleteRecord(m *machine) {
+	if !c.leading() {
+		return
+	}
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: wire.MachineKey(m.id), Version: m.mark}, {Key: wire.KeyLeader, Version: c.own.leader.mark}},
+		Then: []wire.Change{{Delete: wire.MachineKey(m.id)}},
+	}
+	c.askState(prioFleet, txn, 1500*micros.Millisecond, func(r Result) {
+		if body, ok := r.Body.(*wire.Revision); ok && r.Status == 200 && c.mach[m.id] == m {
+			c.applyDelete(wire.MachineKey(m.id), body.Revision)
+		}
+	})
+}
+
+// plan moves idle machines to where work waits, rents what is missing, and
+// returns what is too much.
+func (c *Core) plan() {
+	f := &c.fleet
+	demand := c.allDemand()
+	if len(demand) < len(c.own.shares) && c.now < f.ledAt+20*micros.Second {
+		return // some owner has not spoken yet
+	}
+	have, booting := 0.0, 0.0
+	for _, id := range sortedKeys(f.rented) {
+		if c.mach[id] != nil || c.now-f.rented[id].at > 5*micros.Minute {
+			delete(f.rented, id)
+		}
+	}
+	count := len(c.mach)
+	seen := map[string]bool{}
+	for id, r := range f.rented {
+		seen[id] = true
+		booting += c.types[r.typ].CPUs
+		count++
+	}
+	for id, l := range f.listed {
+		if c.mach[id] == nil && !seen[id] && f.returned[id] == 0 && l.State != wire.MachineFailed {
+			booting += c.types[l.Type].CPUs
+			count++
+		}
+	}
+	work, parallel, arrival := 0.0, 0.0, 0.0
+	var groups []peer.Group
+	for _, d := range demand {
+		have += d.CPUs
+		work += workOf(d)
+		parallel += d.Busy
+		arrival += d.ArrivalCPUs
+		for _, g := range d.Groups {
+			parallel += float64(g.Waiting) * g.CPUs
+			groups = append(groups, g)
+		}
+	}
+	need := max(work/c.cfg.DrainHorizon.Seconds(), arrival)
+	need = min(need, parallel)
+	c.moveIdle(demand)
+	deficit := need - have - booting
+	c.log(Debug, "fleet", "need", need, "have", have, "booting", booting, "work", work, "parallel", parallel)
+	if deficit > 0.5 && f.hire == nil && count < c.cfg.MaxMachines {
+		c.rent(groups, deficit, c.cfg.MaxMachines-count)
+	}
+	c.returnIdle(demand, have+booting-need)
+	c.replaceBad(demand)
+}
+
+func (c *Core) rent(groups []peer.Group, deficit float64, most int) {
+	f := &c.fleet
+	// The largest waiting work decides what is rented.
+	slices.SortStableFunc(groups, func(a, b peer.Group) int {
+		return cmp.Compare(float64(b.WorkUS)*b.CPUs, float64(a.WorkUS)*a.CPUs)
+	})
+	type option struct {
+		kind
+		price float64
+		cpus  float64
+	}
+	for _, g := range groups {
+		if g.Waiting == 0 {
+			continue
+		}
+		var options []option
+		for _, name := range c.hosts.names {
+			mt := c.types[name]
+			if !g.Any && !slices.Contains(g.Types, name) || mt.CPUs < g.CPUs || mt.GPUs < g.GPUs || mt.MemGB < g.MemGB || mt.CPUs <= 0 {
+				continue
+			}
+			for _, zone := range mt.Zones {
+				if g.Zone != "" && g.Zone != zone {
+					continue
+				}
+				for _, spot := range []bool{true, false} {
+					k := kind{typ: name, zone: zone, spot: spot}
+					if spot && !g.Spot || f.refused[k] != nil && c.now < f.refused[k].until {
+						continue
+					}
+					price := mt.Price
+					if spot {
+						price = mt.SpotPrice
+					}
+					// What would stand unused is paid as well.
+					price /= min(mt.CPUs, max(deficit, g.CPUs))
+					options = append(options, option{kind: k, price: price, cpus: mt.CPUs})
+				}
+			}
+		}
+		if len(options) == 0 {
+			continue
+		}
+		inZone := map[string]int{}
+		for _, m := range c.mach {
+			inZone[m.rec.Zone]++
+		}
+		slices.SortStableFunc(options, func(a, b option) int {
+			return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(inZone[a.zone], inZone[b.zone]))
+		})
+		o := options[0]
+		n := int(math.Ceil(deficit/o.cpus - 0.25))
+		n = max(1, min(n, 50, most))
+		f.hires++
+		f.hire = &hire{leader: c.own.leader.mark, req: wire.Rental{
+			Request: fmt.Sprintf("r-%d-%d", c.own.leader.mark, f.hires),
+			Type:    o.typ, Zone: o.zone, Spot: o.spot, Count: n,
+		}}
+		c.sendHire()
+		return
+	}
+}
+
+func (c *Core) sendHire() {
+	f := &c.fleet
+	h := f.hire
+	if h.busy || c.now < h.next {
+		return
+	}
+	h.busy = c.askCloud(h.req, cloudTimeout, func(r Result) {
+		if f.hire != h {
+			return
+		}
+		h.busy = false
+		k := kind{typ: h.req.Type, zone: h.req.Zone, spot: h.req.Spot}
+		body, ok := r.Body.(*wire.MachineNames)
+		switch {
+		case ok && r.Status == 200:
+			f.hire = nil
+			for _, id := range body.Machines {
+				f.rented[id] = &rented{kind: k, at: c.now}
+			}
+			c.log(Info, "machines rented", "type", k.typ, "zone", k.zone, "spot", k.spot, "wanted", h.req.Count, "got", len(body.Machines))
+			if len(body.Machines) < h.req.Count {
+				c.refuse(k)
+			} else {
+				delete(f.refused, k)
+			}
+			f.planNext = c.now
+		case r.Status == 503 && r.Body == noCapacity:
+			f.hire = nil
+			c.refuse(k)
+			f.planNext = c.now
+		case r.Status == 400:
+			f.hire = nil
+			c.refuse(k)
+			c.log(Error, "rental request called malformed", "request", h.req.Request)
+		default:
+			h.next = c.now + c.jitter(2*micros.Second)
+		}
+	})
+}
+
+// noCapacity is the body by which a runtime tells the cloud's "no capacity"
+// from an outage.
+const noCapacity = NoCapacity("no capacity")
+
+// NoCapacity is the Result body of a refused rental.
+type NoCapacity string
+
+// RefusedRental is the Body to give with a 503 that says "no capacity".
+const RefusedRental = noCapacity
+
+func (c *Core) refuse(k kind) {
+	r := c.fleet.refused[k]
+	if r == nil {
+		r = &refusal{}
+		c.fleet.refused[k] = r
+	}
+	r.pause = min(max(2*r.pause, 8*micros.Second), 40*micros.Second)
+	r.until = c.now + c.jitter(r.pause)
+	c.log(Debug, "no more machines of a kind for now", "type", k.typ, "zone", k.zone, "spot", k.spot)
+}
+
+// askRelease asks a machine's owner to let it go.
+func (c *Core) askRelease(id string, retire bool, to int) {
+	f := &c.fleet
+	m := c.mach[id]
+	if m == nil || c.now < f.asked[id]+3*micros.Second && f.asked[id] != 0 {
+		return
+	}
+	f.asked[id] = c.now
+	r := peer.Release{Machine: id, Retire: retire, Share: to}
+	if retire {
+		r.Share = m.rec.Share
+	}
+	s := c.own.shares[m.rec.Share]
+	if c.acting(s.id) != nil {
+		c.release(r)
+		return
+	}
+	if p := c.peers[s.rec.Label]; p != nil {
+		c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Release: &r}, Timeout: micros.Second}, func(Result) {})
+	}
+}
+
+// moveIdle gives idle machines of shares without waiting work to those whose
+// queue waits.
+func (c *Core) moveIdle(demand map[int]*peer.Demand) {
+	waiting := func(d *peer.Demand) float64 {
+		w := 0.0
+		for _, g := range d.Groups {
+			w += float64(g.Waiting) * g.CPUs
+		}
+		return w
+	}
+	lack := map[int]float64{}
+	for id, d := range demand {
+		lack[id] = waiting(d)
+	}
+	for _, s := range c.own.shares {
+		d := demand[s.id]
+		if d == nil || waiting(d) > 0 {
+			continue
+		}
+		for _, m := range d.Machines {
+			if m.State != peer.MachineIdle || c.mach[m.ID] == nil {
+				continue
+			}
+			best, most := -1, 0.0
+			for id := range c.own.shares {
+				if l := lack[id]; id != s.id && l > most {
+					best, most = id, l
+				}
+			}
+			if best < 0 {
+				return
+			}
+			lack[best] -= c.types[c.mach[m.ID].rec.Type].CPUs
+			c.askRelease(m.ID, false, best)
+		}
+	}
+}
+
+// returnIdle returns machines that idle, the dearest first, as long as there is
+// more than is needed.
+func (c *Core) returnIdle(demand map[int]*peer.Demand, surplus float64) {
+	type idle struct {
+		id          string
+		cpus, price float64
+	}
+	var list []idle
+	for _, d := range demand {
+		for _, m := range d.Machines {
+			rec := c.mach[m.ID]
+			if m.State != peer.MachineIdle || micros.Micros(m.SinceUS) < c.cfg.IdleReturn || rec == nil {
+				continue
+			}
+			mt := c.types[rec.rec.Type]
+			price := mt.Price
+			if rec.rec.Spot {
+				price = mt.SpotPrice
+			}
+			list = append(list, idle{m.ID, mt.CPUs, price / max(mt.CPUs, 1)})
+		}
+	}
+	slices.SortFunc(list, func(a, b idle) int {
+		return cmp.Or(-cmp.Compare(a.price, b.price), cmp.Compare(a.id, b.id))
+	})
+	for _, i := range list {
+		if surplus >= i.cpus {
+			surplus -= i.cpus
+			c.askRelease(i.id, true, 0)
+		}
+	}
+}
+
+// replaceBad retires machines that fail or slow tasks once they are empty, and
+// silent ones if the operators want that.
+func (c *Core) replaceBad(demand map[int]*peer.Demand) {
+	var silent []string
+	for _, id := range c.ownShareIDs(demand) {
+		d := demand[id]
+		quiet := 0
+		for _, m := range d.Machines {
+			if m.State == peer.MachineSilent {
+				quiet++
+			}
+		}
+		total := 0
+		for _, m := range c.mach {
+			if m.rec.Share == id {
+				total++
+			}
+		}
+		for _, m := range d.Machines {
+			switch {
+			case m.State == peer.MachineBad:
+				c.askRelease(m.ID, true, 0)
+			case m.State == peer.MachineSilent && c.cfg.SilentReturn > 0 && micros.Micros(m.SinceUS) > c.cfg.SilentReturn && 2*quiet <= total:
+				// If most are silent, the fault is rather the owner's network.
+				silent = append(silent, m.ID)
+			}
+		}
+	}
+	c.returnMachines(silent)
+}
+
+func (c *Core) ownShareIDs(demand map[int]*peer.Demand) []int {
+	var ids []int
+	for id := range demand {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,519 @@
+package core
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// job is an accepted, unfinished job.
+type job struct {
+	id       string
+	rec      wire.JobRecord
+	sub      *wire.Submission
+	mark     uint64
+	share    int
+	team     int
+	priority int
+	due      micros.Micros // time of day
+	knownAt  micros.Micros
+	run      *run // set at the owner
+}
+
+// run is what the owner of a job keeps of it.
+type run struct {
+	done    bitset
+	count   int
+	active  map[int]*slot
+	next    int     // tasks from here on were never tried
+	again   intHeap // tasks to try again
+	fresh   bool    // accepted after our claim: no former owner can have started it
+	ready   bool    // its Version is known
+	steps   []wire.Step
+	re      []int64
+	arrival micros.Micros
+
+	verMark  uint64 // of its Version's key
+	verDirty bool
+	verBusy  bool
+	verNext  micros.Micros
+	saved    bitset // tasks whose end is in a recorded Version
+
+	ending  bool // a transaction that ends the job was sent and not settled
+	want    string
+	endNext micros.Micros
+	waiters []func(peer.Answer)
+
+	fails    map[string]int // failures by machine
+	failed   map[int]int    // failures by task
+	probeAt  micros.Micros  // a job that fails everywhere is tried one task at a time
+	pause    micros.Micros
+	firstRun micros.Micros
+}
+
+type finalJob struct {
+	state string
+	tasks int
+}
+
+// jobTable holds jobs that are not over, and a bounded memory of those that are.
+type jobTable struct {
+	open     map[string]*job
+	finals   map[string]finalJob
+	ring     []string
+	ringAt   int
+	creating map[string]*creation
+}
+
+const maxFinals = 20_000
+
+func (t *jobTable) init() {
+	t.open = map[string]*job{}
+	t.finals = map[string]finalJob{}
+	t.creating = map[string]*creation{}
+}
+
+func (t *jobTable) final(id string) (finalJob, bool) {
+	f, ok := t.finals[id]
+	return f, ok
+}
+
+func (t *jobTable) addFinal(id string, f finalJob) {
+	if _, ok := t.finals[id]; ok {
+		return
+	}
+	if len(t.ring) < maxFinals {
+		t.ring = append(t.ring, id)
+	} else {
+		delete(t.finals, t.ring[t.ringAt])
+		t.ring[t.ringAt] = id
+		t.ringAt = (t.ringAt + 1) % maxFinals
+	}
+	t.finals[id] = f
+}
+
+func finalAnswer(f finalJob) peer.Answer {
+	a := peer.Answer{Status: 200, State: f.state}
+	if f.state == wire.StateDone {
+		a.Done = f.tasks
+	}
+	return a
+}
+
+// shareFor gives the share that a job belongs to.
+func (c *Core) shareFor(id string, team int) int {
+	if c.shareOf != nil {
+		return c.shareOf[team]
+	}
+	// FNV-1a with a last mix, so that ids that differ at the end part evenly.
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(id); i++ {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	h ^= h >> 32
+	return int(h % uint64(c.cfg.Shares))
+}
+
+// learnJob takes a job's record from a watch, a listing, a read or a hint.
+func (c *Core) learnJob(id string, rec wire.JobRecord, mark uint64) {
+	if !wire.ValidID(id) {
+		return
+	}
+	if _, ok := c.jobs.final(id); ok {
+		return
+	}
+	j := c.jobs.open[id]
+	if rec.Final() {
+		c.finishJob(id, finalJob{state: rec.State, tasks: rec.Tasks})
+		return
+	}
+	if j != nil {
+		j.mark = max(j.mark, mark)
+		return
+	}
+	if rec.Submission == nil || rec.Submission.Tasks < 1 || rec.Submission.Tasks > wire.MaxTasks {
+		c.log(Error, "job record without a usable submission, ignored", "job", id)
+		return
+	}
+	sub := rec.Submission
+	team, ok := c.teamOf[sub.Team]
+	if !ok {
+		c.log(Error, "job of a team that the settings do not know, ignored", "job", id, "team", sub.Team)
+		return
+	}
+	prio, _ := wire.PriorityOf(sub.Priority)
+	j = &job{
+		id: id, rec: rec, sub: sub, mark: mark, team: team,
+		share: c.shareFor(id, team), priority: prio, knownAt: c.now,
+		due: micros.Never,
+	}
+	if sub.DeadlineS != nil {
+		j.due = micros.Micros(rec.AcceptedMS)*micros.Millisecond + micros.FromSeconds(*sub.DeadlineS)
+	}
+	c.jobs.open[id] = j
+	if s := c.own.shares[j.share]; s.active {
+		c.startRun(s, j)
+	}
+}
+
+// startRun begins an owner's care for a job.
+func (c *Core) startRun(s *share, j *job) {
+	j.run = &run{
+		done:    newBitset(j.sub.Tasks),
+		saved:   newBitset(j.sub.Tasks),
+		active:  map[int]*slot{},
+		fresh:   j.mark > s.mark,
+		fails:   map[string]int{},
+		failed:  map[int]int{},
+		arrival: c.now,
+	}
+	if j.run.fresh {
+		j.run.ready = true
+		s.arrivals.add(c.now, float64(j.sub.Tasks)*j.sub.CPUs*c.runs.expect(j.sub).Seconds())
+	} else if s.loaded {
+		c.applyVersion(s, j)
+	}
+	c.dirty = true
+}
+
+func (c *Core) stopRun(j *job) {
+	if j.run == nil {
+		return
+	}
+	waiters := j.run.waiters
+	j.run = nil
+	for _, w := range waiters {
+		c.later(func() { w(peer.Answer{Status: 503}) })
+	}
+}
+
+// pending gives how many tasks wait for a machine.
+func (j *job) pending() int { return j.sub.Tasks - j.run.count - len(j.run.active) }
+
+// nextTask gives the next task to start, lowest index first among those to
+// try again; ok is false when none waits.
+func (j *job) nextTask() (int, bool) {
+	r := j.run
+	for len(r.again) > 0 {
+		idx := r.again[0]
+		if !r.done.has(idx) && r.active[idx] == nil {
+			return idx, true
+		}
+		heap.Pop(&r.again)
+	}
+	for r.next < j.sub.Tasks {
+		if !r.done.has(r.next) && r.active[r.next] == nil {
+			return r.next, true
+		}
+		r.next++
+	}
+	return 0, false
+}
+
+// requeue puts a task back after its slot is gone.
+func (j *job) requeue(idx int) {
+	if idx >= j.run.next {
+		return // still ahead of the cursor
+	}
+	heap.Push(&j.run.again, idx)
+}
+
+// running counts tasks for display.
+func (j *job) running() int {
+	n := 0
+	for _, s := range j.run.active {
+		if s.state == slotRunning || s.state == slotSaving {
+			n++
+		}
+	}
+	return n
+}
+
+// memoryAnswer tells of a job that this node owns.
+func (c *Core) memoryAnswer(j *job) peer.Answer {
+	a := peer.Answer{Status: 200, State: wire.StatePending, Done: j.run.count, Running: j.running()}
+	if a.Running > 0 {
+		a.State = wire.StateRunning
+	}
+	return a
+}
+
+// taskDone notes that a task has completed.
+func (c *Core) taskDone(j *job, idx int, s *slot) {
+	r := j.run
+	if r == nil || idx >= j.sub.Tasks || !r.done.set(idx) {
+		return
+	}
+	r.count++
+	r.verDirty = true
+	if s != nil && s.m != nil {
+		start := c.wall
+		if s.runAt > 0 {
+			start -= c.now - s.runAt
+		}
+		r.steps = append(r.steps, wire.Step{Task: idx, Machine: s.m.id, StartMS: start.Millis(), EndMS: c.wall.Millis()})
+		if len(r.steps) > maxSteps {
+			r.steps = r.steps[len(r.steps)-maxSteps:]
+		}
+	}
+	r.pause, r.probeAt = 0, 0
+	if r.count == j.sub.Tasks && r.want == "" {
+		c.endJob(j, wire.StateDone)
+	}
+}
+
+// cancelJob records a cancellation and answers once it stands.
+func (c *Core) cancelJob(j *job, done func(peer.Answer)) {
+	if len(j.run.waiters) >= 64 {
+		done(peer.Answer{Status: 503})
+		return
+	}
+	j.run.waiters = append(j.run.waiters, done)
+	if j.run.want == "" || !j.run.ending && j.run.want == wire.StateCancelled {
+		c.log(Info, "job cancelled by its user", "job", j.id)
+		c.endJob(j, wire.StateCancelled)
+	}
+}
+
+// endJob records a job as done or cancelled. Users hear of it only after.
+func (c *Core) endJob(j *job, state string) {
+	r := j.run
+	if r.ending || !c.canAnswer() {
+		if r.want == "" {
+			r.want = state
+		}
+		return
+	}
+	s := c.own.shares[j.share]
+	rec := wire.JobRecord{AcceptedMS: j.rec.AcceptedMS, State: state, Tasks: j.sub.Tasks}
+	value, err := wire.Encode(rec)
+	if err != nil {
+		c.log(Error, "job record not encoded", "job", j.id, "error", err)
+		return
+	}
+	r.want, r.ending = state, true
+	r.endNext = micros.Never
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: wire.JobKey(j.id), Version: j.mark}, {Key: ownerKey(s.id), Version: s.mark}},
+		Then: []wire.Change{{Put: wire.JobKey(j.id), Value: value}},
+	}
+	if r.verMark != 0 || r.verBusy {
+		txn.Then = append(txn.Then, wire.Change{Delete: wire.VersionKey(j.id)})
+	}
+	c.askState(prioEnd, txn, 1500*micros.Millisecond, func(res Result) {
+		if j.run != r {
+			return
+		}
+		switch {
+		case res.Status == 200:
+			c.finishJob(j.id, finalJob{state: state, tasks: j.sub.Tasks})
+		case res.NotSent || res.Status == 503 || res.Status == 429:
+			r.ending = false // not executed
+			r.endNext = c.now + c.jitter(400*micros.Millisecond)
+			c.failWaiters(j)
+		default:
+			// Unclear, or something has changed: a read settles it. Until then
+			// nothing is told from memory.
+			c.settleEnd(j, r)
+		}
+	})
+}
+
+// settleEnd reads a job whose end is unclear.
+func (c *Core) settleEnd(j *job, r *run) {
+	c.readJob(j.id, func(status int) {
+		if j.run != r {
+			return // final, or no longer ours
+		}
+		if status == 200 {
+			// Not ended; a late copy can still end it, which does no harm. j.mark is
+			// as read.
+			r.ending = false
+			r.endNext = c.now
+			c.failWaiters(j)
+			return
+		}
+		r.endNext = c.now + c.jitter(500*micros.Millisecond)
+		c.failWaiters(j)
+	})
+}
+
+func (c *Core) failWaiters(j *job) {
+	waiters := j.run.waiters
+	j.run.waiters = nil
+	for _, w := range waiters {
+		c.later(func() { w(peer.Answer{Status: 503}) })
+	}
+}
+
+// finishJob takes notice that a job is over.
+func (c *Core) finishJob(id string, f finalJob) {
+	c.jobs.addFinal(id, f)
+	j := c.jobs.open[id]
+	if j == nil {
+		return
+	}
+	delete(c.jobs.open, id)
+	r := j.run
+	if r == nil {
+		return
+	}
+	waiters := r.waiters
+	r.waiters = nil
+	for _, w := range waiters {
+		c.later(func() { w(finalAnswer(f)) })
+	}
+	if f.state == wire.StateDone {
+		c.log(Info, "job done", "job", id, "tasks", f.tasks, "seconds", (c.now - r.arrival).Seconds())
+	}
+	for _, idx := range slices.Sorted(keysOf(r.active)) {
+		s := r.active[idx]
+		if s.state == slotAssigned {
+			c.freeSlot(s, false)
+			continue
+		}
+		s.halt = haltHard
+	}
+	j.run = nil
+	c.dirty = true
+}
+
+// houseJobs does what is due for jobs: ends to retry, Versions to record.
+func (c *Core) houseJobs() {
+	if !c.canAnswer() {
+		return
+	}
+	var due []*job
+	for _, j := range c.jobs.open {
+		r := j.run
+		if r == nil || c.acting(j.share) == nil {
+			continue
+		}
+		if r.want != "" && c.now >= r.endNext || r.verDirty && !r.verBusy && c.now >= r.verNext {
+			due = append(due, j)
+		}
+	}
+	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	for _, j := range due {
+		r := j.run
+		switch {
+		case r.want != "" && c.now >= r.endNext:
+			if r.ending {
+				r.endNext = micros.Never
+				c.settleEnd(j, r)
+			} else {
+				c.endJob(j, r.want)
+			}
+		case r.want == "":
+			c.recordVersion(j)
+		}
+	}
+}
+
+// estimates correct the owners' run times by what the class has shown.
+type estimates struct{ byClass map[string]*classRuns }
+
+type classRuns struct {
+	logRatio, weight float64
+	// perSize keeps typical seconds, for machines that are slower than others.
+}
+
+func (e *estimates) init() { e.byClass = map[string]*classRuns{} }
+
+// expect gives the run time that a task probably takes.
+func (e *estimates) expect(s *wire.Submission) micros.Micros {
+	base := max(s.EstimateS, 0.1)
+	if cr := e.byClass[s.Class]; cr != nil {
+		base *= math.Exp(cr.logRatio * cr.weight / (cr.weight + 4))
+	}
+	return micros.FromSeconds(base)
+}
+
+// learn takes a completed task's run time.
+func (e *estimates) learn(s *wire.Submission, took micros.Micros) {
+	if s.EstimateS <= 0 || took <= 0 {
+		return
+	}
+	cr := e.byClass[s.Class]
+	if cr == nil {
+		if len(e.byClass) >= 1000 {
+			return
+		}
+		cr = &classRuns{}
+		e.byClass[s.Class] = cr
+	}
+	ratio := math.Log(max(took.Seconds(), 0.05) / s.EstimateS)
+	ratio = max(-2, min(2, ratio))
+	cr.weight = min(cr.weight+0.2, 40)
+	cr.logRatio += (ratio - cr.logRatio) / max(cr.weight*5, 1) * 1
+}
+
+// rateMeter measures work that arrives, decaying over about a minute.
+type rateMeter struct {
+	level float64
+	at    micros.Micros
+}
+
+const meterSpan = 90 * micros.Second
+
+func (r *rateMeter) decay(now micros.Micros) {
+	if now > r.at {
+		r.level *= math.Exp(-(now - r.at).Seconds() / meterSpan.Seconds())
+		r.at = now
+	}
+}
+
+func (r *rateMeter) add(now micros.Micros, amount float64) {
+	r.decay(now)
+	r.level += amount
+}
+
+// rate is the amount per second.
+func (r *rateMeter) rate(now micros.Micros) float64 {
+	r.decay(now)
+	return r.level / meterSpan.Seconds()
+}
+
+// bitset is a set of small integers.
+type bitset []uint64
+
+func newBitset(n int) bitset { return make(bitset, (n+63)/64) }
+
+func (b bitset) has(i int) bool { return b[i>>6]&(1<<(i&63)) != 0 }
+
+// set adds i and tells whether it was missing.
+func (b bitset) set(i int) bool {
+	if b.has(i) {
+		return false
+	}
+	b[i>>6] |= 1 << (i & 63)
+	return true
+}
+
+type intHeap []int
+
+func (h intHeap) Len() int           { return len(h) }
+func (h intHeap) Less(i, j int) bool { return h[i] < h[j] }
+func (h intHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *intHeap) Push(x any)        { *h = append(*h, x.(int)) }
+func (h *intHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+func keysOf[K comparable, V any](m map[K]V) func(func(K) bool) {
+	return func(yield func(K) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,167 @@
+package core
+
+import (
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// peerView is what this node knows of another controller.
+type peerView struct {
+	label   string
+	heardAt micros.Micros
+	uptime  micros.Micros
+	stateOK bool
+	leads   bool
+	busy    bool
+	nextAt  micros.Micros
+	demand  []peer.Demand
+	demAt   micros.Micros
+	heard   map[string]bool // machines that tried it of late
+}
+
+const statusEvery = micros.Second
+
+// alive: it was heard of within the last few statuses.
+func (c *Core) alive(p *peerView) bool { return c.now-p.heardAt < 5*statusEvery/2 }
+
+// stateFresh: the state service answered this node of late.
+func (c *Core) stateFresh() bool { return c.now-c.own.contact < 5*micros.Second/2 }
+
+func (c *Core) housePeers() {
+	for _, label := range c.cfg.Peers {
+		if p := c.peers[label]; c.now >= p.nextAt {
+			c.sendStatus(p)
+		}
+	}
+	for id, at := range c.heard {
+		if c.now-at > 10*micros.Second {
+			delete(c.heard, id)
+		}
+	}
+}
+
+func (c *Core) sendStatus(p *peerView) {
+	if p.busy {
+		p.nextAt = c.now
+		return
+	}
+	p.busy = true
+	p.nextAt = c.now + statusEvery
+	st := &peer.Status{
+		Incarnation: c.own.lease,
+		UptimeUS:    int64(c.now - c.began),
+		StateOK:     c.stateFresh(),
+	}
+	for _, s := range c.own.shares {
+		if c.acting(s.id) != nil {
+			st.Owns = append(st.Owns, peer.Owned{Share: s.id, Mark: s.mark})
+		}
+	}
+	if c.leading() {
+		st.Leader = c.own.leader.mark
+	}
+	if c.own.leader.rec.Label == p.label {
+		st.Demand = c.demands()
+	}
+	sent := st.Owns
+	c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Status: st}, Timeout: statusEvery}, func(r Result) {
+		p.busy = false
+		resp, ok := r.Body.(*peer.Response)
+		if !ok || r.Status != 200 || resp.Status == nil {
+			return
+		}
+		p.heardAt = c.now
+		p.uptime = micros.Micros(resp.Status.UptimeUS)
+		p.stateOK = resp.Status.StateOK
+		p.heard = map[string]bool{}
+		for _, id := range resp.Status.Heard {
+			p.heard[id] = true
+		}
+		for _, id := range resp.Status.Quiet {
+			for _, o := range sent {
+				if o.Share == id && c.own.shares[id].mark == o.Mark {
+					c.noteQuiet(c.own.shares[id], p.label)
+				}
+			}
+		}
+	})
+}
+
+// peerMessage answers another controller.
+func (c *Core) peerMessage(in PeerMessage) {
+	req, resp := in.Req, &peer.Response{From: c.cfg.Label}
+	p := c.peers[req.From]
+	if p == nil {
+		c.answer(in.Reply, 404, nil, 0)
+		return
+	}
+	switch {
+	case req.Status != nil:
+		p.heardAt = c.now
+		p.uptime = micros.Micros(req.Status.UptimeUS)
+		p.stateOK = req.Status.StateOK
+		if req.Status.Demand != nil || c.leading() {
+			p.demand, p.demAt = req.Status.Demand, c.now
+		}
+		resp.Status = &peer.StatusAck{
+			Incarnation: c.own.lease,
+			UptimeUS:    int64(c.now - c.began),
+			StateOK:     c.stateFresh(),
+			Quiet:       c.noteOwned(req.Status.Owns),
+		}
+		for _, id := range sortedKeys(c.heard) {
+			if len(resp.Status.Heard) < 200 {
+				resp.Status.Heard = append(resp.Status.Heard, id)
+			}
+		}
+	case req.Ask != nil:
+		c.askedAbout(*req.Ask, func(a peer.Answer) {
+			resp.Answer = &a
+			c.answer(in.Reply, 200, resp, 0)
+		})
+		return
+	case req.Hint != nil:
+		var rec wire.JobRecord
+		if err := wire.Decode(req.Hint.Record, &rec); err == nil && wire.ValidID(req.Hint.ID) {
+			c.learnJob(req.Hint.ID, rec, req.Hint.Mark)
+			resp.OK = true
+		}
+	case req.Release != nil:
+		resp.OK = c.release(*req.Release)
+	}
+	c.answer(in.Reply, 200, resp, 0)
+}
+
+// askedAbout answers as the owner of a job, or with 503 if this node is not.
+func (c *Core) askedAbout(a peer.Ask, done func(peer.Answer)) {
+	if f, ok := c.jobs.final(a.ID); ok {
+		done(finalAnswer(f))
+		return
+	}
+	j := c.jobs.open[a.ID]
+	if j == nil || j.run == nil || c.acting(j.share) == nil || !c.canAnswer() {
+		if j == nil && a.Cancel && wire.ValidID(a.ID) {
+			// The watch may not have brought it yet.
+			c.readJob(a.ID, func(status int) {
+				if k := c.jobs.open[a.ID]; status == 200 && k != nil && k.run != nil {
+					c.askedAbout(a, done)
+					return
+				}
+				done(peer.Answer{Status: 503})
+			})
+			return
+		}
+		done(peer.Answer{Status: 503})
+		return
+	}
+	if a.Cancel {
+		c.cancelJob(j, done)
+		return
+	}
+	if j.run.ending {
+		done(peer.Answer{Status: 503})
+		return
+	}
+	done(c.memoryAnswer(j))
+}
--- /dev/null
+++ b/internal/core/recovery.go
@@ -0,0 +1,152 @@
+package core
+
+import (
+	"math"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// noteFailure weighs a failed task: is the machine at fault, or the job?
+func (c *Core) noteFailure(sl *slot) {
+	j, v := sl.job, sl.m.v
+	r := j.run
+	v.failJobs[j.id]++
+	c.log(Info, "task failed", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
+	if r == nil {
+		return
+	}
+	r.fails[sl.m.id]++
+	r.failed[sl.idx]++
+	if c.suspect(j) {
+		// Failing everywhere: throttled until its user cancels it. The protocol
+		// has no answer that says "failed".
+		if r.pause == 0 {
+			c.log(Info, "job fails on every machine, trying one task at a time", "job", j.id, "machines", len(r.fails))
+		}
+		r.pause = min(max(2*r.pause, 4*micros.Second), micros.Minute)
+		r.probeAt = c.now + r.pause
+		// It is no evidence against machines.
+		for id := range r.fails {
+			if m := c.mach[id]; m != nil && m.v != nil {
+				delete(m.v.failJobs, j.id)
+				if m.v.sick && len(m.v.failJobs) == 0 {
+					m.v.sick, m.v.asideUntil = false, 0
+				}
+			}
+		}
+		return
+	}
+	failures := 0
+	for _, n := range v.failJobs {
+		failures += n
+	}
+	if len(v.failJobs) >= 2 || failures >= 2 && c.provenElsewhere(j, sl.m) || failures >= 3 {
+		if !v.sick {
+			c.log(Info, "machine set aside, its tasks fail", "machine", sl.m.id, "failures", failures, "jobs", len(v.failJobs))
+		}
+		v.sick = true
+		v.asideUntil = c.now + c.cfg.Quarantine
+		// What still runs there will fail as well.
+		for _, other := range v.sorted() {
+			if other.owned && other.state == slotAssigned {
+				c.freeSlot(other, false)
+			}
+		}
+	}
+}
+
+// suspect: the job has failed on several machines and never completed a task.
+func (c *Core) suspect(j *job) bool { return len(j.run.fails) >= 3 && j.run.count == 0 }
+
+// provenElsewhere: the job's tasks complete or run on other machines.
+func (c *Core) provenElsewhere(j *job, m *machine) bool {
+	if j.run.count > 0 {
+		return true
+	}
+	for _, sl := range j.run.active {
+		if sl.m != m && sl.runAt > 0 && c.now-sl.runAt > 5*micros.Second {
+			return true
+		}
+	}
+	return false
+}
+
+// avoids: a task that failed again goes to another machine than those where
+// its job failed; a first failure may use the same one.
+func (c *Core) avoids(j *job, idx int, m *machine) bool {
+	n := j.run.fails[m.id]
+	if n == 0 {
+		return false
+	}
+	if c.suspect(j) {
+		return false // it has nowhere to go
+	}
+	return n >= 2 || j.run.failed[idx] >= 2
+}
+
+// noteNotice takes a spot notice.
+func (c *Core) noteNotice(m *machine, rep *wire.Report) {
+	v := m.v
+	if rep.NoticeS == nil {
+		return
+	}
+	at := c.now + micros.FromSeconds(*rep.NoticeS)
+	if v.takenAt == 0 {
+		c.log(Info, "machine will be taken away", "machine", m.id, "seconds", *rep.NoticeS)
+		c.fleet.dirty = true
+	}
+	v.takenAt = at
+	c.drain(m)
+}
+
+// drain clears a machine that will be taken away: tasks that can save do so in
+// time, those that won't be done by then start again elsewhere at once.
+func (c *Core) drain(m *machine) {
+	v := m.v
+	left := v.takenAt - c.now
+	for _, sl := range v.sorted() {
+		if !sl.owned || sl.job == nil || sl.halt != haltNone || sl.state == slotExited {
+			continue
+		}
+		sub := sl.job.sub
+		save := micros.FromSeconds(sub.SaveS)
+		switch {
+		case sl.state < slotRunning:
+			c.stop(sl, haltHard)
+		case sub.CheckpointS > 0 && left > save+micros.Second/2:
+			c.stop(sl, haltSave)
+		case sl.state == slotRunning:
+			rest := c.runs.expect(sub) - (c.now - sl.runAt)
+			if rest > left {
+				c.stop(sl, haltHard)
+			}
+		}
+	}
+}
+
+// noteSpeed compares a run time with what the job's class led to expect.
+func (c *Core) noteSpeed(m *machine, j *job, took micros.Micros) {
+	want := c.runs.expect(j.sub)
+	if want <= 0 || took <= 0 {
+		return
+	}
+	v := m.v
+	ratio := max(-1.5, min(1.5, math.Log(took.Seconds()/want.Seconds())))
+	v.slowSum = v.slowSum*0.9 + ratio
+	v.slowN = v.slowN*0.9 + 1
+}
+
+// slowness is 0 for an ordinary machine and grows with how much longer its
+// tasks take.
+func (c *Core) slowness(m *machine) float64 {
+	v := m.v
+	if v.slowN < 2 {
+		return 0
+	}
+	mean := v.slowSum / (v.slowN + 2)
+	if mean < 0.3 {
+		return 0
+	}
+	return mean
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,369 @@
+package core
+
+import (
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// creation is a submission whose record is being written.
+type creation struct {
+	waiters []func(status int, state string)
+}
+
+// maxOpenJobs bounds memory: beyond it submissions are refused, with a time to
+// come back.
+const maxOpenJobs = 20_000
+
+func (c *Core) ready(in Ready) {
+	status := 503
+	if c.own.job.ready && c.own.ctl.ready && len(c.types) > 0 && c.servesUsers() {
+		status = 200
+	}
+	c.answer(in.Reply, status, nil, 0)
+}
+
+// servesUsers: users are better off elsewhere if this node has lost the state
+// service while another has not. If all have lost it, they are not.
+func (c *Core) servesUsers() bool {
+	if c.now-c.own.contact < 3*micros.Second {
+		return true
+	}
+	for _, p := range c.peers {
+		if c.alive(p) && p.stateOK {
+			return false
+		}
+	}
+	// Nobody can be asked: alone without the state service is no place for users
+	// once the lease has run out, unless there is nobody else.
+	return len(c.cfg.Peers) == 0 || c.anyPeerAlive() || c.canAnswer()
+}
+
+func (c *Core) anyPeerAlive() bool {
+	for _, p := range c.peers {
+		if c.alive(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// tellJob answers a user about a job.
+func (c *Core) tellJob(r ReplyID, id string, a peer.Answer) {
+	switch a.Status {
+	case 200, 201:
+		body := wire.JobAnswer{ID: id, State: a.State}
+		done, running := a.Done, a.Running
+		body.Done, body.Running = &done, &running
+		c.answer(r, a.Status, body, 0)
+	case 404:
+		c.answer(r, 404, nil, 0)
+	default:
+		c.answer(r, 503, nil, 1)
+	}
+}
+
+func (c *Core) poll(in Poll) {
+	if !wire.ValidID(in.ID) {
+		// Only ids of the protocol's form exist.
+		c.answer(in.Reply, 404, nil, 0)
+		return
+	}
+	c.jobState(in.ID, func(a peer.Answer) { c.tellJob(in.Reply, in.ID, a) })
+}
+
+// jobState finds out how a job stands: a final state from anywhere, all else
+// from its owner, or from a fresh read.
+func (c *Core) jobState(id string, done func(peer.Answer)) {
+	if f, ok := c.jobs.final(id); ok {
+		done(finalAnswer(f))
+		return
+	}
+	fresh := func() { c.freshState(id, done) }
+	j := c.jobs.open[id]
+	if j == nil {
+		fresh()
+		return
+	}
+	s := c.own.shares[j.share]
+	if j.run != nil && c.acting(j.share) != nil && c.canAnswer() {
+		if j.run.ending {
+			fresh()
+			return
+		}
+		done(c.memoryAnswer(j))
+		return
+	}
+	p := c.peers[s.rec.Label]
+	if s.mark == 0 || p == nil || !c.alive(p) {
+		fresh()
+		return
+	}
+	c.askPeer(p, peer.Ask{ID: id}, 400*micros.Millisecond, func(a peer.Answer) {
+		if a.Status == 200 {
+			done(a)
+			return
+		}
+		fresh()
+	})
+}
+
+func (c *Core) askPeer(p *peerView, ask peer.Ask, timeout micros.Micros, done func(peer.Answer)) {
+	c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Ask: &ask}, Timeout: timeout}, func(r Result) {
+		resp, ok := r.Body.(*peer.Response)
+		if !ok || r.Status != 200 || resp.Answer == nil {
+			done(peer.Answer{Status: 503})
+			return
+		}
+		a := *resp.Answer
+		if a.Status == 200 && (a.State == wire.StateDone || a.State == wire.StateCancelled) {
+			c.finishJob(ask.ID, finalJob{state: a.State, tasks: a.Done})
+		}
+		done(a)
+	})
+}
+
+// readJob reads a job's record; status is 200 (and the job is known from then
+// on), 404, or 0 when there was no answer.
+func (c *Core) readJob(id string, done func(status int)) {
+	if c.stateQueued() > 100 {
+		done(0)
+		return
+	}
+	c.askState(prioAccept, GetKey{Key: wire.JobKey(id)}, 900*micros.Millisecond, func(r Result) {
+		switch {
+		case r.Status == 200:
+			kv, ok := r.Body.(*wire.KeyValue)
+			if !ok {
+				done(0)
+				return
+			}
+			c.own.contact = c.now
+			c.applyPut(kv.Key, kv.Value, kv.Version)
+			done(200)
+		case r.Status == 404:
+			c.own.contact = c.now
+			done(404)
+		default:
+			done(0)
+		}
+	})
+}
+
+func (c *Core) freshState(id string, done func(peer.Answer)) {
+	c.readJob(id, func(status int) {
+		if f, ok := c.jobs.final(id); ok {
+			done(finalAnswer(f))
+			return
+		}
+		switch status {
+		case 200:
+			done(peer.Answer{Status: 200, State: wire.StatePending})
+		case 404:
+			done(peer.Answer{Status: 404})
+		default:
+			done(peer.Answer{Status: 503})
+		}
+	})
+}
+
+func (c *Core) withdraw(in Withdraw) {
+	if !wire.ValidID(in.ID) {
+		c.answer(in.Reply, 404, nil, 0)
+		return
+	}
+	c.withdrawJob(in.ID, true, func(a peer.Answer) { c.tellJob(in.Reply, in.ID, a) })
+}
+
+func (c *Core) withdrawJob(id string, look bool, done func(peer.Answer)) {
+	if f, ok := c.jobs.final(id); ok {
+		done(finalAnswer(f))
+		return
+	}
+	j := c.jobs.open[id]
+	if j == nil {
+		if !look {
+			done(peer.Answer{Status: 503})
+			return
+		}
+		c.readJob(id, func(status int) {
+			if status == 200 {
+				c.withdrawJob(id, false, done)
+				return
+			}
+			if status == 404 {
+				done(peer.Answer{Status: 404})
+				return
+			}
+			done(peer.Answer{Status: 503})
+		})
+		return
+	}
+	s := c.own.shares[j.share]
+	if j.run != nil && c.acting(j.share) != nil && c.canAnswer() {
+		c.cancelJob(j, done)
+		return
+	}
+	p := c.peers[s.rec.Label]
+	if s.mark == 0 || p == nil {
+		done(peer.Answer{Status: 503})
+		return
+	}
+	c.askPeer(p, peer.Ask{ID: id, Cancel: true}, 3*micros.Second, func(a peer.Answer) {
+		if a.Status == 200 && a.State != wire.StateDone && a.State != wire.StateCancelled {
+			a = peer.Answer{Status: 503}
+		}
+		done(a)
+	})
+}
+
+// submit takes a user's job.
+func (c *Core) submit(in Submit) {
+	if in.Err != nil {
+		// An accepted job never gets 400: if this one is known, say how it stands.
+		if id := in.Err.ID; id != "" && c.knows(id) {
+			c.jobState(id, func(a peer.Answer) { c.tellJob(in.Reply, id, a) })
+			return
+		}
+		c.answer(in.Reply, 400, nil, 0)
+		return
+	}
+	id := in.Job.ID
+	if c.knows(id) {
+		c.jobState(id, func(a peer.Answer) { c.tellJob(in.Reply, id, a) })
+		return
+	}
+	if len(c.types) == 0 || !c.own.job.ready {
+		c.answer(in.Reply, 503, nil, 1)
+		return
+	}
+	if !c.canRun(&in.Job) {
+		// A job that was accepted never gets 422 either: only a read can tell.
+		c.freshState(id, func(a peer.Answer) {
+			if a.Status == 404 {
+				c.answer(in.Reply, 422, nil, 0)
+				return
+			}
+			c.tellJob(in.Reply, id, a)
+		})
+		return
+	}
+	if len(c.jobs.open) >= maxOpenJobs || c.stateQueued() > 40 {
+		c.answer(in.Reply, 429, nil, 2)
+		return
+	}
+	c.create(in.Job, func(status int, state string) {
+		c.tellJob(in.Reply, id, peer.Answer{Status: status, State: state})
+	})
+}
+
+func (c *Core) knows(id string) bool {
+	_, over := c.jobs.final(id)
+	return over || c.jobs.open[id] != nil
+}
+
+// canRun tells whether a job could ever run: its team is known, and a task fits
+// an allowed machine type in an allowed zone and its team's limit.
+func (c *Core) canRun(sub *wire.Submission) bool {
+	team, ok := c.teamOf[sub.Team]
+	if !ok {
+		return false
+	}
+	t := c.cfg.Teams[team]
+	if t.CPUsMax > 0 && sub.CPUs > t.CPUsMax || t.GPUsMax > 0 && sub.GPUs > t.GPUsMax {
+		return false
+	}
+	for _, name := range c.hosts.names {
+		mt := c.types[name]
+		if typeAllowed(sub, name) && sub.CPUs <= mt.CPUs && sub.GPUs <= mt.GPUs && sub.MemGB <= mt.MemGB {
+			if sub.Zone == "" {
+				return true
+			}
+			for _, z := range mt.Zones {
+				if z == sub.Zone {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func typeAllowed(sub *wire.Submission, name string) bool {
+	if sub.Types == nil {
+		return true
+	}
+	for _, t := range sub.Types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// create writes the record of a new job. 201 is told only once that stands.
+func (c *Core) create(sub wire.Submission, done func(status int, state string)) {
+	id := sub.ID
+	if cr := c.jobs.creating[id]; cr != nil {
+		if len(cr.waiters) >= 16 {
+			done(503, "")
+			return
+		}
+		cr.waiters = append(cr.waiters, done)
+		return
+	}
+	rec := wire.JobRecord{Submission: &sub, AcceptedMS: c.wall.Millis(), State: wire.StatePending, Tasks: sub.Tasks}
+	value, err := wire.Encode(rec)
+	if err != nil || len(value) > c.cfg.ValueBytes {
+		c.log(Error, "job record does not fit", "job", id, "bytes", len(value), "error", err)
+		done(400, "")
+		return
+	}
+	cr := &creation{waiters: []func(int, string){done}}
+	c.jobs.creating[id] = cr
+	finish := func(status int, state string) {
+		delete(c.jobs.creating, id)
+		for _, w := range cr.waiters {
+			w(status, state)
+		}
+	}
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: wire.JobKey(id), Version: 0}},
+		Then: []wire.Change{{Put: wire.JobKey(id), Value: value}},
+	}
+	c.askState(prioAccept, txn, 1200*micros.Millisecond, func(r Result) {
+		if body, ok := r.Body.(*wire.Revision); ok && r.Status == 200 {
+			c.own.contact = c.now
+			c.learnJob(id, rec, body.Revision)
+			c.hint(id, body.Revision, value)
+			finish(201, wire.StatePending)
+			return
+		}
+		if r.NotSent || r.Status == 503 || r.Status == 429 {
+			finish(503, "")
+			return
+		}
+		// It stands already, or nothing is known: a read settles it. If nothing
+		// stands, a late copy may still create it; the user's retry finds it then.
+		c.freshState(id, func(a peer.Answer) {
+			if a.Status == 404 {
+				a.Status = 503
+			}
+			finish(a.Status, a.State)
+		})
+	})
+}
+
+// hint tells the owner of a new job at once; the watch would in a moment.
+func (c *Core) hint(id string, mark uint64, record []byte) {
+	j := c.jobs.open[id]
+	if j == nil || j.run != nil {
+		return
+	}
+	p := c.peers[c.own.shares[j.share].rec.Label]
+	if p == nil || !c.alive(p) {
+		return
+	}
+	req := peer.Request{From: c.cfg.Label, Hint: &peer.Hint{ID: id, Mark: mark, Record: record}}
+	c.call(Call{To: ToPeer, Addr: p.label, Req: req, Timeout: micros.Second}, func(Result) {})
+}
--- /dev/null
+++ b/internal/core/versions.go
@@ -0,0 +1,170 @@
+package core
+
+import (
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+const (
+	maxSteps      = 16
+	maxRecoveries = 8
+	versionEvery  = 2 * micros.Second
+)
+
+// loadVersions reads all Versions after a claim: from then on only this owner
+// writes those of its jobs.
+func (c *Core) loadVersions(s *share, after string, got map[string]wire.VersionRecord, marks map[string]uint64) {
+	mark := s.mark
+	s.loading = true
+	c.askState(prioEnd, ListKeys{Prefix: wire.PrefixVersion, After: after, Limit: 200}, 3*micros.Second, func(r Result) {
+		if !s.active || s.mark != mark {
+			return
+		}
+		body, ok := r.Body.(*wire.KeyList)
+		if !ok || r.Status != 200 {
+			s.loading = false // houseMachines tries again
+			return
+		}
+		last := ""
+		for _, kv := range body.Items {
+			last = kv.Key
+			id := kv.Key[len(wire.PrefixVersion):]
+			var rec wire.VersionRecord
+			if err := wire.Decode(kv.Value, &rec); err != nil {
+				c.log(Error, "Version not readable, its job restarts from the beginning", "job", id, "error", err)
+			}
+			got[id], marks[id] = rec, kv.Version
+		}
+		if body.More && last != "" {
+			c.loadVersions(s, last, got, marks)
+			return
+		}
+		s.loading, s.loaded, s.versions, s.verMarks = false, true, got, marks
+		for _, id := range sortedKeys(c.jobs.open) {
+			if j := c.jobs.open[id]; j.share == s.id && j.run != nil && !j.run.ready {
+				c.applyVersion(s, j)
+			}
+		}
+		// Machines that settled before could only be noted; look at them again.
+		c.readopt(s)
+		c.dirty = true
+	})
+}
+
+// applyVersion makes a recovered job go on from its newest Version.
+func (c *Core) applyVersion(s *share, j *job) {
+	r := j.run
+	r.ready = true
+	if rec, ok := s.versions[j.id]; ok {
+		r.verMark = s.verMarks[j.id]
+		for i := 0; i+1 < len(rec.Ranges); i += 2 {
+			for idx := max(rec.Ranges[i], 0); idx <= rec.Ranges[i+1] && idx < j.sub.Tasks; idx++ {
+				if r.done.set(idx) {
+					r.count++
+				}
+				r.saved.set(idx)
+			}
+		}
+		r.steps, r.re = rec.Steps, rec.Recoveries
+	}
+	if !r.fresh {
+		c.noteRecovery(j)
+	}
+	if r.count == j.sub.Tasks {
+		c.endJob(j, wire.StateDone)
+	}
+}
+
+// noteRecovery adds the Re mark to the next Version.
+func (c *Core) noteRecovery(j *job) {
+	r := j.run
+	r.re = append(r.re, c.wall.Millis())
+	if len(r.re) > maxRecoveries {
+		r.re = r.re[len(r.re)-maxRecoveries:]
+	}
+}
+
+// version makes the record, and the list of tasks that it covers.
+func (c *Core) version(j *job) (wire.VersionRecord, bitset) {
+	r := j.run
+	rec := wire.VersionRecord{Steps: r.steps, Recoveries: r.re}
+	covered := newBitset(j.sub.Tasks)
+	// A pair of numbers takes at most 10 bytes; keep well below the limit. What
+	// does not fit is left out: those tasks would run again, without harm.
+	room := max((c.cfg.ValueBytes-1500)/12, 1)
+	for i := 0; i < j.sub.Tasks && len(rec.Ranges)/2 < room; {
+		if !r.done.has(i) {
+			i++
+			continue
+		}
+		first := i
+		for i < j.sub.Tasks && r.done.has(i) {
+			covered.set(i)
+			i++
+		}
+		rec.Ranges = append(rec.Ranges, first, i-1)
+		rec.Count += i - first
+	}
+	return rec, covered
+}
+
+// recordVersion writes a job's newest Version.
+func (c *Core) recordVersion(j *job) {
+	r, s := j.run, c.own.shares[j.share]
+	rec, covered := c.version(j)
+	value, err := wire.Encode(rec)
+	if err != nil || len(value) > c.cfg.ValueBytes {
+		c.log(Error, "Version not encoded", "job", j.id, "bytes", len(value), "error", err)
+		r.verDirty = false
+		return
+	}
+	r.verBusy, r.verDirty = true, false
+	r.verNext = c.now + versionEvery
+	key := wire.VersionKey(j.id)
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: ownerKey(s.id), Version: s.mark}, {Key: key, Version: r.verMark}},
+		Then: []wire.Change{{Put: key, Value: value}},
+	}
+	c.askState(prioVersion, txn, 2*micros.Second, func(res Result) {
+		if j.run != r {
+			return
+		}
+		if body, ok := res.Body.(*wire.Revision); ok && res.Status == 200 {
+			r.verBusy, r.verMark, r.saved = false, body.Revision, covered
+			c.markSaved(j)
+			return
+		}
+		r.verDirty = true
+		r.verNext = c.now + c.jitter(versionEvery)
+		if res.NotSent || res.Status == 503 || res.Status == 429 {
+			r.verBusy = false
+			return
+		}
+		// Unclear or refused: see what stands there before writing again.
+		c.askState(prioVersion, GetKey{Key: key}, micros.Second, func(res Result) {
+			if j.run != r {
+				return
+			}
+			r.verBusy = false
+			if kv, ok := res.Body.(*wire.KeyValue); ok && res.Status == 200 {
+				r.verMark = kv.Version
+			} else if res.Status == 404 {
+				r.verMark = 0
+			}
+		})
+	})
+}
+
+// markSaved lets go of exited tasks whose end is on record now.
+func (c *Core) markSaved(j *job) {
+	for _, m := range c.mach {
+		if m.v == nil {
+			continue
+		}
+		for _, s := range m.v.slots {
+			if s.job == j && s.state == slotExited && s.why == wire.WhyDone && j.run.saved.has(s.idx) {
+				s.acted = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,148 @@
+// Package peer holds the messages between controllers, in msgpack. Each is the
+// body of one POST on the internal address; the answer is the response body.
+package peer
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Request is one message to another controller. Exactly one part is set
+// beside From.
+type Request struct {
+	From    string   `msgpack:"f"`
+	Status  *Status  `msgpack:"s,omitempty"`
+	Ask     *Ask     `msgpack:"a,omitempty"`
+	Hint    *Hint    `msgpack:"h,omitempty"`
+	Release *Release `msgpack:"r,omitempty"`
+	Submit  []byte   `msgpack:"b,omitempty"` // a submission's CBOR body
+}
+
+// Response answers a Request.
+type Response struct {
+	From   string     `msgpack:"f"`
+	Status *StatusAck `msgpack:"s,omitempty"`
+	Answer *Answer    `msgpack:"a,omitempty"`
+	OK     bool       `msgpack:"o,omitempty"`
+}
+
+// Status is what a controller tells the others about itself, regularly and
+// after it has taken a share.
+type Status struct {
+	Incarnation uint64   `msgpack:"i"`
+	UptimeUS    int64    `msgpack:"u"`
+	StateOK     bool     `msgpack:"k"` // the state service answered it of late
+	Owns        []Owned  `msgpack:"o,omitempty"`
+	Leader      uint64   `msgpack:"l,omitempty"` // mark of the leader key, if it leads
+	Demand      []Demand `msgpack:"d,omitempty"`
+}
+
+// StatusAck answers a Status. Quiet lists the shares of the Status for which
+// the answering node gives no commands and will give none.
+type StatusAck struct {
+	Incarnation uint64   `msgpack:"i"`
+	UptimeUS    int64    `msgpack:"u"`
+	StateOK     bool     `msgpack:"k"`
+	Quiet       []int    `msgpack:"q,omitempty"`
+	Heard       []string `msgpack:"h,omitempty"` // machines that tried the answering node of late
+}
+
+// Owned names a share and the mark of its owner key.
+type Owned struct {
+	Share int    `msgpack:"s"`
+	Mark  uint64 `msgpack:"m"`
+}
+
+// Demand is what a share wants of the fleet.
+type Demand struct {
+	Share int `msgpack:"s"`
+	// Groups are the tasks that wait, alike ones together.
+	Groups []Group `msgpack:"g,omitempty"`
+	// CPUs are all CPUs of the share's usable machines, Busy those in use.
+	CPUs float64 `msgpack:"c"`
+	Busy float64 `msgpack:"b"`
+	// RunLeftUS is the work left in running tasks, in CPU microseconds.
+	RunLeftUS int64 `msgpack:"w"`
+	// Guarantee is the sum of its teams' guaranteed CPUs.
+	Guarantee float64 `msgpack:"u"`
+	// ArrivalCPUs is the work that came in of late, in CPUs kept busy.
+	ArrivalCPUs float64   `msgpack:"n"`
+	Machines    []Machine `msgpack:"m,omitempty"`
+}
+
+// Group is a set of waiting tasks that the same machines could run.
+type Group struct {
+	Types    []string `msgpack:"t,omitempty"`
+	Any      bool     `msgpack:"a,omitempty"`
+	Zone     string   `msgpack:"z,omitempty"`
+	Spot     bool     `msgpack:"s,omitempty"`
+	CPUs     float64  `msgpack:"c"`
+	GPUs     float64  `msgpack:"g,omitempty"`
+	MemGB    float64  `msgpack:"m"`
+	Waiting  int      `msgpack:"w"`
+	WorkUS   int64    `msgpack:"u"` // sum of estimated run times
+	Priority int      `msgpack:"p"`
+}
+
+// Machine states that an owner reports to the leader.
+const (
+	MachineIdle   = 1 // nothing on it
+	MachineSilent = 2 // not heard of for a while
+	MachineBad    = 3 // to be replaced: it fails or slows tasks, or is being taken away
+	MachineBusy   = 4
+)
+
+// Machine is one machine of a share that the leader should know about.
+type Machine struct {
+	ID      string `msgpack:"i"`
+	State   int    `msgpack:"s"`
+	SinceUS int64  `msgpack:"t"` // for how long
+}
+
+// Ask asks the owner about a job, or to cancel it.
+type Ask struct {
+	ID     string `msgpack:"i"`
+	Cancel bool   `msgpack:"c,omitempty"`
+}
+
+// Answer is the owner's answer; Status is as for users, 503 when it can't say.
+type Answer struct {
+	Status  int    `msgpack:"s"`
+	State   string `msgpack:"t"`
+	Done    int    `msgpack:"d,omitempty"`
+	Running int    `msgpack:"r,omitempty"`
+}
+
+// Hint tells the owner of a job that was just accepted.
+type Hint struct {
+	ID     string `msgpack:"i"`
+	Mark   uint64 `msgpack:"m"`
+	Record []byte `msgpack:"r"` // the record as stored
+}
+
+// Release asks an owner to let an idle machine go: to another share, or for good.
+type Release struct {
+	Machine string `msgpack:"m"`
+	Retire  bool   `msgpack:"r,omitempty"`
+	Share   int    `msgpack:"s"`
+}
+
+// Encode gives the msgpack form.
+func Encode(v any) ([]byte, error) {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("peer: encode %T: %w", v, err)
+	}
+	return b, nil
+}
+
+// Decode reads a message; anything malformed is an error, never a panic.
+func Decode(b []byte, v any) error {
+	d := msgpack.NewDecoder(bytes.NewReader(b))
+	if err := d.Decode(v); err != nil {
+		return fmt.Errorf("peer: decode %T: %w", v, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/runtime/runtime.go
@@ -0,0 +1,483 @@
+// Package runtime carries out what the core decides: it feeds requests, results
+// and time into the core, sends its calls, writes its answers and logs.
+package runtime
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"garnethitch/internal/client"
+	"garnethitch/internal/config"
+	"garnethitch/internal/core"
+	"garnethitch/internal/http1"
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/server"
+	"garnethitch/internal/wire"
+)
+
+const (
+	cborType    = "application/cbor"
+	msgpackType = "application/msgpack"
+	maxBody     = 64 << 10
+	maxState    = 24 << 20 // a watch has no size limit; this is ours
+	maxPeer     = 1 << 20
+	maxCalls    = 512
+)
+
+// Runtime is one running controller.
+type Runtime struct {
+	set   config.Settings
+	log   *slog.Logger
+	start time.Time
+
+	mu      sync.Mutex
+	core    *core.Core
+	replies map[core.ReplyID]*server.Reply
+	nextID  core.ReplyID
+	calls   int
+	timer   *time.Timer
+
+	srv     *server.Server
+	out     *client.Client // state, cloud and peers
+	workers *client.Client
+	peers   map[string]string
+	ctx     context.Context
+}
+
+// New prepares a controller.
+func New(set config.Settings, opt config.Options, log *slog.Logger, seed uint64) *Runtime {
+	rt := &Runtime{
+		set: set, log: log, start: time.Now(),
+		core:    core.New(CoreConfig(set, opt), seed),
+		replies: map[core.ReplyID]*server.Reply{},
+		peers:   map[string]string{},
+	}
+	for _, s := range set.Seeds {
+		rt.peers[s.Label] = s.Address
+	}
+	sockets := set.Cluster.Resources.Sockets
+	outbound := client.Config{
+		MaxIdle: 8, MaxConns: min(max(sockets/8, 24), 400), MaxBody: maxState,
+		IdleTimeout: 20 * time.Second, DialTimeout: 700 * time.Millisecond,
+	}
+	rt.out = client.New(outbound)
+	outbound.MaxIdle, outbound.MaxBody = 1, maxBody
+	rt.workers = client.New(outbound)
+	memory := int64(set.Cluster.Resources.RAMMB * (1 << 20))
+	rt.srv = server.New(server.Config{
+		Addrs:    []string{set.ServeOn, set.InternalAddr},
+		MaxConns: sockets * 6 / 10,
+		MaxBody:  maxBody,
+		MaxHeld:  memory / 16,
+		Half:     10 * time.Second,
+		Idle:     75 * time.Second,
+		Log:      log,
+		Now:      time.Now,
+		Handler:  rt.handle,
+	})
+	return rt
+}
+
+// CoreConfig gives the core what it needs of the settings.
+func CoreConfig(set config.Settings, opt config.Options) core.Config {
+	cl := set.Cluster
+	cfg := core.Config{
+		Label: set.Label, Shares: cl.Nodes, Zones: cl.Zones,
+		Lease:       micros.Micros(opt.LeaseMS) * micros.Millisecond,
+		ReportEvery: micros.FromSeconds(cl.Workers.ReportS),
+		WorkerLease: micros.FromSeconds(cl.Workers.LeaseS),
+		Cancel:      micros.FromSeconds(cl.Workers.CancelS),
+		StateRPS:    cl.State.RPS, WriteRPS: cl.State.WriteRPS,
+		ValueBytes: int(cl.State.ValueKB * 1024), TxnOps: cl.State.TxnOps,
+		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
+		SilentReturn: micros.FromSeconds(opt.SilentReturnS),
+		DrainHorizon: micros.FromSeconds(opt.DrainHorizonS),
+		IdleReturn:   micros.FromSeconds(opt.IdleReturnS),
+		Quarantine:   micros.FromSeconds(opt.QuarantineS),
+		MaxMachines:  opt.MaxMachines,
+		Urgent:       map[string]micros.Micros{},
+	}
+	for _, s := range set.Seeds {
+		cfg.Peers = append(cfg.Peers, s.Label)
+	}
+	for _, t := range cl.Teams {
+		cfg.Teams = append(cfg.Teams, core.Team(t))
+	}
+	for _, o := range cl.Objectives {
+		if o.Kind == "wait" && o.Class != "" {
+			cfg.Urgent[o.Class] = micros.FromSeconds(o.WithinS)
+		}
+	}
+	return cfg
+}
+
+// Run serves until ctx ends.
+func (rt *Runtime) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	rt.ctx = ctx
+	rt.mu.Lock()
+	rt.timer = time.AfterFunc(time.Hour, func() { rt.step(core.Tick{}) })
+	rt.mu.Unlock()
+	defer rt.timer.Stop()
+	rt.step(core.Tick{})
+	go rt.sweep(ctx)
+	return rt.srv.Run(ctx)
+}
+
+func (rt *Runtime) sweep(ctx context.Context) {
+	t := time.NewTicker(10 * time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			rt.out.Sweep()
+			rt.workers.Sweep()
+		}
+	}
+}
+
+// instant reads both clocks.
+func (rt *Runtime) instant() core.Instant {
+	now := time.Now()
+	return core.Instant{
+		Steady: micros.FromDuration(now.Sub(rt.start)) + micros.Second,
+		Wall:   micros.Micros(now.UnixMicro()),
+	}
+}
+
+// step feeds one input and carries out what follows. The clock is read under
+// the lock: a process that was frozen must not act on an old reading.
+func (rt *Runtime) step(in core.Input) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.stepLocked(in)
+}
+
+func (rt *Runtime) stepLocked(in core.Input) {
+	at := rt.instant()
+	for _, e := range rt.core.Step(at, in) {
+		switch e := e.(type) {
+		case core.Answer:
+			rt.answer(e)
+		case core.Call:
+			rt.call(e)
+		case core.Log:
+			rt.logLine(e)
+		}
+	}
+	if rt.timer != nil {
+		rt.timer.Reset(max((rt.core.Wake() - at.Steady).Duration(), time.Millisecond))
+	}
+}
+
+func (rt *Runtime) logLine(e core.Log) {
+	switch e.Level {
+	case core.Debug:
+		rt.log.Debug(e.Text, e.Args...)
+	case core.Info:
+		rt.log.Info(e.Text, e.Args...)
+	default:
+		rt.log.Error(e.Text, e.Args...)
+	}
+}
+
+// ask feeds a request that waits for an answer.
+func (rt *Runtime) ask(r *server.Reply, make func(core.ReplyID) core.Input) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.nextID++
+	rt.replies[rt.nextID] = r
+	rt.stepLocked(make(rt.nextID))
+}
+
+func (rt *Runtime) answer(a core.Answer) {
+	r, ok := rt.replies[a.Reply]
+	if !ok {
+		return
+	}
+	delete(rt.replies, a.Reply)
+	out := server.Answer{Status: a.Status, RetryAfterS: a.RetryAfterS, ContentType: cborType}
+	if a.Body != nil {
+		var err error
+		if resp, isPeer := a.Body.(*peer.Response); isPeer {
+			out.ContentType = msgpackType
+			out.Body, err = peer.Encode(resp)
+		} else {
+			out.Body, err = wire.Encode(a.Body)
+		}
+		if err != nil {
+			rt.log.Error("answer not encoded", "error", err)
+			out = server.Answer{Status: 503, RetryAfterS: 1}
+		}
+	}
+	r.Send(out)
+}
+
+// handle routes a request.
+func (rt *Runtime) handle(req server.Request) {
+	r, msg := req.Reply(), &req.Msg
+	if req.Listener == 1 {
+		rt.handlePeer(r, msg)
+		return
+	}
+	only := func(method string) bool {
+		if msg.Method != method {
+			r.Send(server.Answer{Status: 405})
+			return false
+		}
+		return true
+	}
+	switch path := msg.Path; {
+	case path == "/checkin":
+		if !only("POST") {
+			return
+		}
+		rep, err := wire.ParseReport(msg.Body)
+		if err != nil {
+			rt.log.Debug("report not readable", "error", err)
+			r.Send(server.Answer{Status: 400})
+			return
+		}
+		rt.ask(r, func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: rep} })
+	case path == "/ready":
+		if only("GET") {
+			rt.ask(r, func(id core.ReplyID) core.Input { return core.Ready{Reply: id} })
+		}
+	case path == "/submissions":
+		if !only("POST") {
+			return
+		}
+		sub, serr := wire.ParseSubmission(msg.Body)
+		rt.ask(r, func(id core.ReplyID) core.Input { return core.Submit{Reply: id, Job: sub, Err: serr} })
+	case strings.HasPrefix(path, "/submissions/"):
+		rest := path[len("/submissions/"):]
+		if id, ok := strings.CutSuffix(rest, "/withdraw"); ok && !strings.Contains(id, "/") {
+			if only("POST") {
+				rt.ask(r, func(rid core.ReplyID) core.Input { return core.Withdraw{Reply: rid, ID: id} })
+			}
+			return
+		}
+		if strings.Contains(rest, "/") || rest == "" {
+			r.Send(server.Answer{Status: 404})
+			return
+		}
+		if only("GET") {
+			rt.ask(r, func(rid core.ReplyID) core.Input { return core.Poll{Reply: rid, ID: rest} })
+		}
+	default:
+		r.Send(server.Answer{Status: 404})
+	}
+}
+
+func (rt *Runtime) handlePeer(r *server.Reply, msg *http1.Message) {
+	if msg.Path != "/peer" {
+		r.Send(server.Answer{Status: 404})
+		return
+	}
+	if msg.Method != "POST" {
+		r.Send(server.Answer{Status: 405})
+		return
+	}
+	var req peer.Request
+	if err := peer.Decode(msg.Body, &req); err != nil {
+		rt.log.Debug("peer message not readable", "error", err)
+		r.Send(server.Answer{Status: 400})
+		return
+	}
+	rt.ask(r, func(id core.ReplyID) core.Input { return core.PeerMessage{Reply: id, Req: req} })
+}
+
+// call sends one request in the background and feeds its result back.
+func (rt *Runtime) call(call core.Call) {
+	if rt.calls >= maxCalls {
+		go rt.step(core.Result{ID: call.ID, NotSent: true})
+		return
+	}
+	rt.calls++
+	go func() {
+		res := rt.do(call)
+		res.ID = call.ID
+		rt.mu.Lock()
+		defer rt.mu.Unlock()
+		rt.calls--
+		rt.stepLocked(res)
+	}()
+}
+
+// do makes a call. Anything that is not a well-formed answer counts as none.
+func (rt *Runtime) do(call core.Call) core.Result {
+	out, body, err := rt.request(call)
+	if err != nil {
+		rt.log.Error("request not encoded", "error", err)
+		return core.Result{NotSent: true}
+	}
+	out.Body, out.Timeout = body, call.Timeout.Duration()
+	if len(body) > 0 {
+		out.ContentType = cborType
+	}
+	cl := rt.out
+	if call.To == core.ToWorker {
+		cl = rt.workers
+	}
+	msg, err := cl.Do(rt.ctx, out)
+	if err != nil {
+		rt.log.Debug("no answer", "method", out.Method, "target", out.Target, "addr", out.Addr, "error", err)
+		if !errors.Is(err, client.ErrBusy) {
+			cl.Forget(out.Addr)
+		}
+		return core.Result{NotSent: errors.Is(err, client.ErrNotSent)}
+	}
+	res, err := decode(call, msg)
+	if err != nil {
+		rt.log.Error("answer not readable", "method", out.Method, "target", out.Target, "status", msg.Status, "error", err)
+		return core.Result{}
+	}
+	return res
+}
+
+// request gives the HTTP form of a call.
+func (rt *Runtime) request(call core.Call) (client.Call, []byte, error) {
+	var out client.Call
+	var payload any
+	switch call.To {
+	case core.ToState:
+		out.Addr = rt.set.Endpoints.State
+	case core.ToCloud:
+		out.Addr = rt.set.Endpoints.Cloud
+	case core.ToWorker:
+		out.Addr = call.Addr
+	case core.ToPeer:
+		out.Addr, out.Method, out.Target = rt.peers[call.Addr], "POST", "/peer"
+		body, err := peer.Encode(call.Req)
+		return out, body, err
+	}
+	post := func(target string, body any) { out.Method, out.Target, payload = "POST", target, body }
+	get := func(target string) { out.Method, out.Target = "GET", target }
+	switch r := call.Req.(type) {
+	case wire.Txn:
+		if r.If == nil {
+			r.If = []wire.Condition{}
+		}
+		post("/multi", r)
+	case wire.NewLease:
+		post("/grants", r)
+	case core.RenewLease:
+		post("/grants/"+strconv.FormatUint(r.Lease, 10)+"/extend", nil)
+	case core.GetKey:
+		get("/keys/" + r.Key)
+	case core.ListKeys:
+		q := "/keys?starts=" + url.QueryEscape(r.Prefix) + "&most=" + strconv.Itoa(r.Limit)
+		if r.After != "" {
+			q += "&since=" + url.QueryEscape(r.After)
+		}
+		get(q)
+	case core.Watch:
+		get("/watch?starts=" + url.QueryEscape(r.Prefix) + "&since=" + strconv.FormatUint(r.Since, 10) + "&blockMs=" + strconv.FormatInt(r.WaitMS, 10))
+	case core.GetTypes:
+		get("/flavors")
+	case core.ListMachines:
+		q := "/rentals?most=" + strconv.Itoa(r.Limit)
+		if r.After != "" {
+			q += "&since=" + url.QueryEscape(r.After)
+		}
+		get(q)
+	case core.ReturnMachines:
+		post("/rentals/return", wire.MachineNames{Machines: r.Machines})
+	case wire.Rental:
+		post("/rentals", r)
+	case wire.Orders:
+		post("/orders", r)
+	case core.Show:
+		get("/show")
+	default:
+		return out, nil, fmt.Errorf("runtime: request of unknown type %T", call.Req)
+	}
+	if payload == nil {
+		return out, nil, nil
+	}
+	body, err := wire.Encode(payload)
+	return out, body, err
+}
+
+// decode reads an answer into the type that the core expects for the request.
+func decode(call core.Call, msg http1.Message) (core.Result, error) {
+	res := core.Result{Status: msg.Status}
+	into := func(v any) (core.Result, error) {
+		if err := wire.Decode(msg.Body, v); err != nil {
+			return core.Result{}, err
+		}
+		res.Body = v
+		return res, nil
+	}
+	if call.To == core.ToPeer {
+		if msg.Status != 200 {
+			return res, nil
+		}
+		var resp peer.Response
+		if err := peer.Decode(msg.Body, &resp); err != nil {
+			return core.Result{}, err
+		}
+		res.Body = &resp
+		return res, nil
+	}
+	switch call.Req.(type) {
+	case wire.Rental:
+		if msg.Status == 503 {
+			var e struct {
+				Error string `cbor:"error"`
+			}
+			if wire.Decode(msg.Body, &e) == nil && e.Error == string(core.RefusedRental) {
+				res.Body = core.RefusedRental
+			}
+			return res, nil
+		}
+	case wire.Orders:
+		if msg.Status == 409 {
+			return into(&wire.Report{})
+		}
+	case wire.Txn:
+		if msg.Status == 409 {
+			return into(&wire.Revision{})
+		}
+	}
+	if msg.Status != 200 {
+		return res, nil
+	}
+	switch call.Req.(type) {
+	case wire.Txn:
+		return into(&wire.Revision{})
+	case wire.NewLease:
+		return into(&wire.Lease{})
+	case core.GetKey:
+		return into(&wire.KeyValue{})
+	case core.ListKeys:
+		return into(&wire.KeyList{})
+	case core.Watch:
+		return into(&wire.Events{})
+	case core.GetTypes:
+		return into(&wire.MachineTypes{})
+	case core.ListMachines:
+		return into(&wire.MachineList{})
+	case wire.Rental:
+		return into(&wire.MachineNames{})
+	case wire.Orders, core.Show:
+		rep, err := wire.ParseReport(msg.Body)
+		if err != nil {
+			return core.Result{}, err
+		}
+		res.Body = &rep
+		return res, nil
+	}
+	return res, nil
+}
--- /dev/null
+++ b/internal/wire/submission.go
@@ -0,0 +1,239 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// MaxTasks is the largest number of tasks in a job.
+const MaxTasks = 100_000
+
+// Submission is a job as its user describes it, checked.
+type Submission struct {
+	ID          string   `cbor:"nameId"`
+	Class       string   `cbor:"herd"`
+	Team        string   `cbor:"crew"`
+	Kind        string   `cbor:"gait"`
+	Priority    string   `cbor:"rank"`
+	Tasks       int      `cbor:"loads"`
+	CPUs        float64  `cbor:"cpus"`
+	GPUs        float64  `cbor:"gpus"`
+	MemGB       float64  `cbor:"memGb"`
+	Image       string   `cbor:"tack"`
+	ImageGB     float64  `cbor:"sizeGb"`
+	Types       []string `cbor:"breeds"` // nil: any
+	Zone        string   `cbor:"paddock,omitempty"`
+	OneZone     bool     `cbor:"oneZone"`
+	Apart       bool     `cbor:"apart"`
+	Spot        bool     `cbor:"strays"`
+	EstimateS   float64  `cbor:"haulS"`
+	CheckpointS float64  `cbor:"restS"`
+	SaveS       float64  `cbor:"stowS"`
+	DeadlineS   *float64 `cbor:"dueS"`
+}
+
+// rawSubmission tells a missing or null field from a zero one.
+type rawSubmission struct {
+	ID          *string   `cbor:"nameId"`
+	Class       *string   `cbor:"herd"`
+	Team        *string   `cbor:"crew"`
+	Kind        *string   `cbor:"gait"`
+	Priority    *string   `cbor:"rank"`
+	Tasks       *int64    `cbor:"loads"`
+	CPUs        *float64  `cbor:"cpus"`
+	GPUs        *float64  `cbor:"gpus"`
+	MemGB       *float64  `cbor:"memGb"`
+	Image       *string   `cbor:"tack"`
+	ImageGB     *float64  `cbor:"sizeGb"`
+	Types       *[]string `cbor:"breeds"`
+	Zone        *string   `cbor:"paddock"`
+	OneZone     *bool     `cbor:"oneZone"`
+	Apart       *bool     `cbor:"apart"`
+	Spot        *bool     `cbor:"strays"`
+	EstimateS   *float64  `cbor:"haulS"`
+	CheckpointS *float64  `cbor:"restS"`
+	SaveS       *float64  `cbor:"stowS"`
+	DeadlineS   *float64  `cbor:"dueS"`
+}
+
+// SubmissionError says what is wrong with a submission. ID is set when the
+// body still named a job properly.
+type SubmissionError struct {
+	ID, Reason string
+}
+
+func (e *SubmissionError) Error() string { return "submission: " + e.Reason }
+
+// ValidID tells whether an id has the protocol's form: "job-" and digits, at
+// least six of them.
+func ValidID(id string) bool {
+	digits, ok := strings.CutPrefix(id, "job-")
+	if !ok || len(digits) < 6 || len(digits) > 18 {
+		return false
+	}
+	for i := 0; i < len(digits); i++ {
+		if digits[i] < '0' || digits[i] > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// ParseSubmission decodes and checks the body of a submission.
+func ParseSubmission(body []byte) (Submission, *SubmissionError) {
+	var s Submission
+	var raw rawSubmission
+	if err := Decode(body, &raw); err != nil {
+		var only struct {
+			ID any `cbor:"nameId"`
+		}
+		id := ""
+		if Decode(body, &only) == nil {
+			if v, ok := only.ID.(string); ok && ValidID(v) {
+				id = v
+			}
+		}
+		return s, &SubmissionError{ID: id, Reason: err.Error()}
+	}
+	p := &parse{}
+	s.ID = text(p, "id", raw.ID)
+	if p.reason == "" && !ValidID(s.ID) {
+		return s, &SubmissionError{Reason: "id is of another form"}
+	}
+	s.Class = text(p, "class", raw.Class)
+	s.Team = text(p, "team", raw.Team)
+	s.Kind = text(p, "kind", raw.Kind)
+	s.Priority = text(p, "priority", raw.Priority)
+	s.Image = text(p, "image", raw.Image)
+	s.CPUs = amount(p, "cpus", raw.CPUs)
+	s.GPUs = amount(p, "gpus", raw.GPUs)
+	s.MemGB = amount(p, "memory", raw.MemGB)
+	s.ImageGB = amount(p, "image size", raw.ImageGB)
+	s.EstimateS = amount(p, "estimate", raw.EstimateS)
+	s.CheckpointS = amount(p, "checkpoint interval", raw.CheckpointS)
+	s.SaveS = amount(p, "save time", raw.SaveS)
+	s.OneZone = flag(p, "one zone", raw.OneZone)
+	s.Apart = flag(p, "apart", raw.Apart)
+	s.Spot = flag(p, "spot", raw.Spot)
+	if raw.Tasks == nil {
+		p.fail("tasks missing")
+	} else if *raw.Tasks < 1 || *raw.Tasks > MaxTasks {
+		p.fail("number of tasks out of range")
+	} else {
+		s.Tasks = int(*raw.Tasks)
+	}
+	if s.Kind != "sweep" {
+		p.fail("unknown kind of job")
+	}
+	if _, ok := PriorityOf(s.Priority); !ok {
+		p.fail("unknown priority")
+	}
+	if raw.DeadlineS != nil {
+		d := amount(p, "deadline", raw.DeadlineS)
+		s.DeadlineS = &d
+	}
+	if raw.Zone != nil {
+		s.Zone = text(p, "zone", raw.Zone)
+	}
+	if raw.Types != nil {
+		// An empty list allows nothing; that is for the meaning (422) to say.
+		s.Types = append([]string{}, *raw.Types...)
+		if len(s.Types) > 64 {
+			p.fail("too many machine types")
+		}
+		for _, t := range s.Types {
+			if t == "" || len(t) > 100 {
+				p.fail("a machine type has no usable name")
+			}
+		}
+	}
+	if p.reason != "" {
+		id := s.ID
+		if !ValidID(id) {
+			id = ""
+		}
+		return s, &SubmissionError{ID: id, Reason: p.reason}
+	}
+	return s, nil
+}
+
+type parse struct{ reason string }
+
+func (p *parse) fail(reason string) {
+	if p.reason == "" {
+		p.reason = reason
+	}
+}
+
+func text(p *parse, name string, v *string) string {
+	switch {
+	case v == nil:
+		p.fail(name + " missing")
+		return ""
+	case *v == "" || len(*v) > 200:
+		p.fail(name + " empty or too long")
+	}
+	return *v
+}
+
+func amount(p *parse, name string, v *float64) float64 {
+	switch {
+	case v == nil:
+		p.fail(name + " missing")
+		return 0
+	case math.IsNaN(*v) || math.IsInf(*v, 0) || *v < 0:
+		p.fail(name + " negative or not finite")
+	}
+	return *v
+}
+
+func flag(p *parse, name string, v *bool) bool {
+	if v == nil {
+		p.fail(name + " missing")
+		return false
+	}
+	return *v
+}
+
+// TaskName is the name of a job's task on the wire.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// ParseTask reads a task's name.
+func ParseTask(name string) (job string, index int, err error) {
+	job, digits, ok := strings.Cut(name, "/")
+	if !ok || !ValidID(job) {
+		return "", 0, fmt.Errorf("wire: task name %q", name)
+	}
+	index, err = strconv.Atoi(digits)
+	if err != nil || index < 0 || index >= MaxTasks || strconv.Itoa(index) != digits {
+		return "", 0, fmt.Errorf("wire: task name %q", name)
+	}
+	return job, index, nil
+}
+
+// ParseReport decodes and checks a worker's report.
+func ParseReport(body []byte) (Report, error) {
+	var r Report
+	if err := Decode(body, &r); err != nil {
+		return r, err
+	}
+	if r.Machine == "" || len(r.Machine) > 150 || strings.ContainsAny(r.Machine, " \t\r\n") || r.Session == 0 {
+		return r, fmt.Errorf("wire: report without a usable machine or session")
+	}
+	if r.NoticeS != nil && (math.IsNaN(*r.NoticeS) || math.IsInf(*r.NoticeS, 0)) {
+		r.NoticeS = nil
+	}
+	for _, t := range r.Tasks {
+		if _, _, err := ParseTask(t.Task); err != nil {
+			return r, err
+		}
+		switch t.State {
+		case TaskFetching, TaskRunning, TaskSaving, TaskExited:
+		default:
+			return r, fmt.Errorf("wire: task state %q", t.State)
+		}
+	}
+	return r, nil
+}
