Take over with an old view: tie known tasks to jobs before placing

A node that had been cut off from the state service got a share back and settled its machines before its watch brought the jobs; a job learned then was placed without looking at tasks already seen. Ruled out: late orders, leases.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -177,6 +177,10 @@
 		s.arrivals.add(c.now, float64(j.sub.Tasks)*j.sub.CPUs*c.runs.expect(j.sub).Seconds())
 	} else if s.loaded {
 		c.applyVersion(s, j)
+		// The job may have become known only now, its tasks long since seen on
+		// settled machines: a node that was cut off from the state service takes
+		// over with an old view. Tie them to the job before any is placed again.
+		c.readopt(s)
 	}
 	c.dirty = true
 }
--- /dev/null
+++ b/internal/standin/sim.go
@@ -0,0 +1,517 @@
+// Package standin holds stand-ins for the state service, the cloud, workers
+// and users, and a deterministic simulation that drives several cores against
+// them through losses, delays, late copies, cuts and crashes. Every rule of the
+// protocol is checked at every step. Equal seeds give equal runs.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"garnethitch/internal/core"
+	"garnethitch/internal/micros"
+)
+
+const (
+	ms  = micros.Millisecond
+	sec = micros.Second
+)
+
+// Plan says what a run is made of.
+type Plan struct {
+	Seed     uint64
+	Nodes    int
+	Teams    []core.Team
+	Machines int
+	Jobs     int
+	Faults   bool
+	// Length is how long faults and submissions go on; after that all is well
+	// and every job must come to its end within Rest.
+	Length, Rest micros.Micros
+}
+
+// Sim is one run.
+type Sim struct {
+	plan    Plan
+	rng     *rand.Rand
+	now     micros.Micros
+	queue   events
+	seq     uint64
+	Nodes   []*Node
+	State   *State
+	Cloud   *Cloud
+	workers map[string]*Worker
+	names   []string
+	users   []*user
+	cuts    map[string]cutMode
+	held    map[string][]func()
+	cfg     core.Config
+	// Broken lists the rules that were broken, with time and circumstances.
+	Broken []string
+	// Started and Finished count tasks.
+	Started, Finished int
+	Restarts          int
+}
+
+type cutMode int
+
+const (
+	cutNone cutMode = iota
+	cutHold
+	cutReset
+)
+
+type event struct {
+	at  micros.Micros
+	seq uint64
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// New prepares a run.
+func New(p Plan) *Sim {
+	s := &Sim{
+		plan: p, rng: rand.New(rand.NewPCG(p.Seed, 77)), now: sec,
+		workers: map[string]*Worker{}, cuts: map[string]cutMode{}, held: map[string][]func(){},
+	}
+	s.State = newState(s)
+	s.Cloud = newCloud(s)
+	s.cfg = core.Config{
+		Shares: p.Nodes, Teams: p.Teams, Zones: []string{"east", "west"},
+		Lease: 3 * sec, ReportEvery: 2 * sec, WorkerLease: 12 * sec, Cancel: 25 * sec,
+		StateRPS: 300, WriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 8,
+		CloudRPS: 10, ListLag: 2 * sec,
+		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
+		Urgent: map[string]micros.Micros{"rush": 3 * sec},
+	}
+	for i := range p.Nodes {
+		s.Nodes = append(s.Nodes, &Node{sim: s, id: i, label: fmt.Sprintf("node-%d", i), rate: s.rng.Int64N(501)})
+	}
+	for range min(3, p.Machines) {
+		s.Cloud.add(kind{typ: "small", zone: s.zone()}, 0)
+	}
+	for _, n := range s.Nodes {
+		s.after(s.span(0, 300*ms), n.start)
+	}
+	for i := range p.Jobs {
+		u := newUser(s, i)
+		s.users = append(s.users, u)
+		s.after(s.span(0, p.Length*3/4), u.submit)
+	}
+	if p.Faults {
+		s.scheduleFaults()
+	}
+	return s
+}
+
+// Run plays the run to its end.
+func (s *Sim) Run() {
+	end := s.plan.Length + s.plan.Rest
+	for len(s.queue) > 0 && s.now < end && len(s.Broken) == 0 {
+		e := heap.Pop(&s.queue).(event)
+		s.now = max(s.now, e.at)
+		e.f()
+		if s.now > s.plan.Length+10*sec && s.allOver() {
+			return
+		}
+	}
+	if len(s.Broken) > 0 {
+		return
+	}
+	for _, u := range s.users {
+		if u.accepted && u.told == "" {
+			s.broken("stuck: %s (%s) has not ended %v s after the last fault; %d of %d tasks done",
+				u.sub.ID, u.sub.Class, s.plan.Rest.Seconds(), len(u.done), u.sub.Tasks)
+		}
+	}
+}
+
+func (s *Sim) allOver() bool {
+	for _, u := range s.users {
+		if u.told == "" && !u.gaveUp {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Sim) broken(format string, args ...any) {
+	s.Broken = append(s.Broken, fmt.Sprintf("%.3f s: ", s.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *Sim) at(t micros.Micros, f func()) {
+	s.seq++
+	heap.Push(&s.queue, event{max(t, s.now), s.seq, f})
+}
+
+func (s *Sim) after(d micros.Micros, f func()) { s.at(s.now+d, f) }
+
+// span draws a length of time.
+func (s *Sim) span(from, to micros.Micros) micros.Micros {
+	return from + micros.Micros(s.rng.Int64N(int64(to-from)+1))
+}
+
+func (s *Sim) chance(p float64) bool { return s.rng.Float64() < p }
+
+func (s *Sim) zone() string { return s.cfg.Zones[s.rng.IntN(len(s.cfg.Zones))] }
+
+// delay of one message: mostly short, now and then long.
+func (s *Sim) delay() micros.Micros {
+	if s.plan.Faults && s.chance(0.01) {
+		return s.span(100*ms, 900*ms)
+	}
+	return s.span(300, 4*ms)
+}
+
+// send carries a message over a link named by its ends. Over a link that is
+// cut it vanishes, or is held back and delivered once the cut is over.
+func (s *Sim) send(link string, deliver func()) {
+	switch s.cuts[link] {
+	case cutHold:
+		if s.chance(0.8) {
+			s.held[link] = append(s.held[link], deliver)
+		}
+		return
+	case cutReset:
+		return
+	}
+	if s.plan.Faults && s.chance(0.004) {
+		return
+	}
+	s.after(s.delay(), deliver)
+}
+
+func (s *Sim) cut(links []string, mode cutMode, d micros.Micros) {
+	for _, l := range links {
+		s.cuts[l] = mode
+	}
+	s.after(d, func() {
+		for _, l := range links {
+			delete(s.cuts, l)
+			for _, f := range s.held[l] {
+				s.after(s.delay(), f)
+			}
+			delete(s.held, l)
+		}
+	})
+}
+
+// exchange carries a request and its answer. serve gets a function to answer
+// with; the client gives up after the timeout.
+func exchange[T any](s *Sim, link string, timeout micros.Micros, serve func(reply func(T)), done func(answer T, ok bool)) {
+	over := false
+	finish := func(v T, ok bool) {
+		if !over {
+			over = true
+			done(v, ok)
+		}
+	}
+	var zero T
+	s.after(timeout, func() { finish(zero, false) })
+	s.send(link, func() {
+		serve(func(v T) { s.send(link, func() { finish(v, true) }) })
+	})
+}
+
+// Node is one controller.
+type Node struct {
+	sim    *Sim
+	id     int
+	label  string
+	rate   int64 // its steady clock runs this many millionths fast
+	core   *core.Core
+	life   int
+	nextID core.ReplyID
+	answer map[core.ReplyID]func(core.Answer)
+	wake   micros.Micros
+	recent []core.Call
+}
+
+func (n *Node) start() {
+	if n.core != nil {
+		return
+	}
+	cfg := n.sim.cfg
+	cfg.Label = n.label
+	for _, o := range n.sim.Nodes {
+		if o != n {
+			cfg.Peers = append(cfg.Peers, o.label)
+		}
+	}
+	n.life++
+	n.core = core.New(cfg, n.sim.rng.Uint64())
+	n.answer = map[core.ReplyID]func(core.Answer){}
+	n.wake = micros.Never
+	n.step(core.Tick{})
+}
+
+// crash ends the process without a word. Some of what it sent may be repeated.
+func (n *Node) crash(down micros.Micros) {
+	if n.core == nil {
+		return
+	}
+	n.core, n.answer = nil, nil
+	n.sim.Restarts++
+	for _, call := range n.recent {
+		if n.sim.chance(0.2) {
+			n.sim.after(n.sim.span(0, 4*sec), func() { n.sim.serve(call, func(core.Result) {}) })
+		}
+	}
+	n.recent = nil
+	n.sim.after(down, n.start)
+}
+
+func (n *Node) steady() micros.Micros {
+	t := n.sim.now
+	return t + micros.Micros(int64(t)*n.rate/1_000_000)
+}
+
+func (n *Node) step(in core.Input) {
+	if n.core == nil {
+		return
+	}
+	at := core.Instant{Steady: n.steady(), Wall: n.sim.now + micros.Micros(n.id)*3*ms}
+	for _, e := range n.core.Step(at, in) {
+		switch e := e.(type) {
+		case core.Answer:
+			if f := n.answer[e.Reply]; f != nil {
+				delete(n.answer, e.Reply)
+				f(e)
+			}
+		case core.Call:
+			n.call(e)
+		}
+	}
+	if w := n.core.Wake(); w < n.wake || n.wake <= at.Steady {
+		n.wake = w
+		life := n.life
+		n.sim.after(max(w-at.Steady, ms), func() {
+			if n.life == life && n.core != nil && n.steady() >= n.wake {
+				n.step(core.Tick{})
+			}
+		})
+	}
+}
+
+// ask gives the node a request; f gets the answer, if one comes.
+func (n *Node) ask(make func(core.ReplyID) core.Input, f func(core.Answer)) {
+	if n.core == nil {
+		return
+	}
+	n.nextID++
+	n.answer[n.nextID] = f
+	n.step(make(n.nextID))
+}
+
+func (n *Node) call(call core.Call) {
+	life := n.life
+	n.recent = append(n.recent, call)
+	if len(n.recent) > 12 {
+		n.recent = n.recent[1:]
+	}
+	exchange(n.sim, n.link(call), call.Timeout,
+		func(reply func(core.Result)) { n.sim.serve(call, reply) },
+		func(r core.Result, ok bool) {
+			if n.life != life || n.core == nil {
+				return
+			}
+			if !ok {
+				r = core.Result{}
+			}
+			r.ID = call.ID
+			n.step(r)
+		})
+}
+
+func (n *Node) link(call core.Call) string {
+	switch call.To {
+	case core.ToState:
+		return n.label + "-state"
+	case core.ToCloud:
+		return n.label + "-cloud"
+	case core.ToPeer:
+		a, b := n.label, call.Addr
+		if b < a {
+			a, b = b, a
+		}
+		return a + "-" + b
+	}
+	return n.label + "-" + call.Addr
+}
+
+// serve lets the called side answer.
+func (s *Sim) serve(call core.Call, reply func(core.Result)) {
+	switch call.To {
+	case core.ToState:
+		s.State.serve(call.Req, reply)
+	case core.ToCloud:
+		s.Cloud.serve(call.Req, reply)
+	case core.ToWorker:
+		if w := s.workers[call.Addr]; w != nil {
+			w.serve(call.Req, reply)
+		}
+	case core.ToPeer:
+		s.servePeer(call, reply)
+	}
+}
+
+// onMachine calls f for every task that is on a machine, in order.
+func (s *Sim) onMachine(f func(w *Worker, t *task)) {
+	for _, name := range s.names {
+		w := s.workers[name]
+		if w.dead {
+			continue
+		}
+		for _, key := range w.order() {
+			if t := w.tasks[key]; t.onMachine() {
+				f(w, t)
+			}
+		}
+	}
+}
+
+// starting checks the rules at the moment when a task has its image.
+func (s *Sim) starting(w *Worker, t *task) {
+	s.Started++
+	u := s.userOf(t.job)
+	if u == nil {
+		s.broken("invented: %s started, nobody submitted it", t.name)
+		return
+	}
+	if u.cancelTold != 0 && s.now > u.cancelTold+s.cfg.Cancel {
+		s.broken("ran_cancelled: %s starts long after its cancellation", t.name)
+	}
+	var used, usedGPUs float64
+	zones := map[string]int{}
+	s.onMachine(func(o *Worker, other *task) {
+		ou := s.userOf(other.job)
+		if o != w && other.name == t.name {
+			s.broken("ran_twice: %s runs on %s and is started on %s", t.name, o.id, w.id)
+		}
+		if ou.sub.Team == u.sub.Team {
+			used += ou.sub.CPUs
+			usedGPUs += ou.sub.GPUs
+		}
+		if other.job == t.job && (o != w || other.name != t.name) {
+			zones[o.zone]++
+		}
+	})
+	for _, team := range s.plan.Teams {
+		if team.Name == u.sub.Team && team.CPUsMax > 0 && used > team.CPUsMax+1e-6 {
+			s.broken("quota: %s uses %v CPUs of %v", team.Name, used, team.CPUsMax)
+		}
+	}
+	sub := &u.sub
+	if sub.Types != nil && !slices.Contains(sub.Types, w.typ) || sub.Zone != "" && sub.Zone != w.zone || w.spot && !sub.Spot {
+		s.broken("wrong_place: %s on %s", t.name, w.id)
+	}
+	for z, n := range zones {
+		if sub.OneZone && n > 0 && z != w.zone {
+			s.broken("wrong_place: %s in %s, others are in %s", t.name, w.zone, z)
+		}
+	}
+	if sub.Apart && zones[w.zone]+1 > (sub.Tasks+1)/2 {
+		s.broken("wrong_place: %s is one too many in %s", t.name, w.zone)
+	}
+}
+
+func (s *Sim) userOf(job string) *user {
+	for _, u := range s.users {
+		if u.sub.ID == job {
+			return u
+		}
+	}
+	return nil
+}
+
+// scheduleFaults draws what goes wrong, overlapping as it comes.
+func (s *Sim) scheduleFaults() {
+	n := 4 + s.rng.IntN(6)
+	for range n {
+		s.after(s.span(5*sec, s.plan.Length), s.fault)
+	}
+}
+
+func (s *Sim) fault() {
+	n := s.Nodes[s.rng.IntN(len(s.Nodes))]
+	mode := cutHold
+	if s.chance(0.4) {
+		mode = cutReset
+	}
+	d := s.span(sec, 30*sec)
+	var workerLinks []string
+	for _, name := range s.names {
+		workerLinks = append(workerLinks, n.label+"-"+name)
+	}
+	var peerLinks []string
+	for _, o := range s.Nodes {
+		if o.label < n.label {
+			peerLinks = append(peerLinks, o.label+"-"+n.label)
+		} else if o != n {
+			peerLinks = append(peerLinks, n.label+"-"+o.label)
+		}
+	}
+	switch s.rng.IntN(13) {
+	case 0, 1:
+		n.crash(s.span(50*ms, 6*sec))
+	case 2:
+		for _, o := range s.Nodes {
+			o.crash(s.span(50*ms, 4*sec))
+		}
+	case 3:
+		for i, o := range s.Nodes {
+			s.after(micros.Micros(i)*8*sec, func() { o.crash(s.span(50*ms, 4*sec)) })
+		}
+	case 4:
+		s.State.downUntil = s.now + d
+	case 5:
+		s.cut([]string{n.label + "-state"}, mode, d)
+	case 6:
+		s.cut(workerLinks, mode, d)
+	case 7:
+		s.cut(append(append(workerLinks, peerLinks...), n.label+"-state", n.label+"-cloud"), mode, d)
+	case 8:
+		s.cut(peerLinks, mode, d)
+	case 9:
+		s.Cloud.downUntil = s.now + d
+	case 10, 11:
+		if len(s.names) == 0 {
+			return
+		}
+		w := s.workers[s.names[s.rng.IntN(len(s.names))]]
+		switch s.rng.IntN(4) {
+		case 0: // hangs, and goes on
+			w.hungUntil = s.now + s.span(sec, 25*sec)
+		case 1: // fails every task
+			w.sickUntil = s.now + 40*sec
+		case 2: // taken away
+			if w.spot {
+				w.notice(s.span(0, 6*sec))
+			}
+		case 3: // cut off from the nodes
+			var links []string
+			for _, o := range s.Nodes {
+				links = append(links, o.label+"-"+w.id)
+			}
+			s.cut(links, mode, s.span(sec, 25*sec))
+		}
+	case 12:
+		s.State.refuse[n.label] = s.now + d
+	}
+}
--- /dev/null
+++ b/internal/standin/sim_test.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+
+	"garnethitch/internal/core"
+)
+
+var (
+	oneTeam  = []core.Team{{Name: "solo"}}
+	fourTeam = []core.Team{
+		{Name: "red", CPUs: 8, CPUsMax: 14}, {Name: "green", CPUs: 4, CPUsMax: 10},
+		{Name: "blue", CPUs: 8, CPUsMax: 20}, {Name: "grey", CPUs: 4, CPUsMax: 12},
+	}
+)
+
+// TestRules plays days with troubles and checks every rule at every step, and
+// that all work is done once the troubles are over.
+func TestRules(t *testing.T) {
+	type run struct {
+		name  string
+		teams []core.Team
+		plan  Plan
+		seeds int
+	}
+	for _, r := range []run{
+		{"quiet, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 8, Jobs: 20}, 2},
+		{"quiet, teams parted", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25}, 2},
+		{"troubles, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 8, Jobs: 20, Faults: true}, 24},
+		{"troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Faults: true}, 24},
+		{"troubles, two nodes", fourTeam, Plan{Nodes: 2, Machines: 6, Jobs: 12, Faults: true}, 8},
+		{"troubles, one node", oneTeam, Plan{Nodes: 1, Machines: 6, Jobs: 12, Faults: true}, 6},
+	} {
+		for seed := range r.seeds {
+			t.Run(fmt.Sprintf("%s/%d", r.name, seed), func(t *testing.T) {
+				t.Parallel()
+				p := r.plan
+				p.Teams, p.Seed, p.Length, p.Rest = r.teams, uint64(seed)+1, 90*sec, 300*sec
+				s := New(p)
+				s.Run()
+				for _, b := range s.Broken {
+					t.Error(b)
+				}
+				if s.Started == 0 || s.Finished == 0 {
+					t.Errorf("nothing ran: %d started, %d finished", s.Started, s.Finished)
+				}
+			})
+		}
+	}
+}
+
+// TestSameSeed: a run must repeat exactly, or failures can't be looked into.
+func TestSameSeed(t *testing.T) {
+	play := func() string {
+		s := New(Plan{Seed: 5, Nodes: 3, Machines: 8, Jobs: 15, Faults: true, Teams: fourTeam, Length: 60 * sec, Rest: 200 * sec})
+		s.Run()
+		return fmt.Sprint(s.now, s.Started, s.Finished, s.Restarts, s.State.rev, s.Broken)
+	}
+	if a, b := play(), play(); a != b {
+		t.Errorf("two runs of one seed differ:\n%s\n%s", a, b)
+	}
+}
--- /dev/null
+++ b/internal/standin/user.go
@@ -0,0 +1,172 @@
+package standin
+
+import (
+	"fmt"
+
+	"garnethitch/internal/core"
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// user owns one job: submits it, polls it, perhaps cancels it, and holds the
+// service to what it said.
+type user struct {
+	sim        *Sim
+	sub        wire.Submission
+	runs       []micros.Micros
+	progress   []micros.Micros
+	done       map[int]bool
+	bad        bool // its tasks fail everywhere
+	cancels    bool
+	submitted  bool
+	accepted   bool
+	asked      bool // for cancellation
+	cancelTold micros.Micros
+	told       string
+	gaveUp     bool
+	tries      int
+}
+
+func newUser(s *Sim, i int) *user {
+	r := s.rng
+	u := &user{sim: s, done: map[int]bool{}}
+	u.sub = wire.Submission{
+		ID: fmt.Sprintf("job-%06d", 100000+i*37), Class: "plain", Team: s.plan.Teams[r.IntN(len(s.plan.Teams))].Name,
+		Kind: "sweep", Priority: "standard", Tasks: 1 + r.IntN(10), CPUs: float64(1 + r.IntN(2)), MemGB: 2,
+		Image: fmt.Sprintf("img-%d", r.IntN(3)), ImageGB: 1, Spot: true, EstimateS: 6,
+	}
+	switch r.IntN(6) {
+	case 0:
+		u.sub.Class, u.sub.Priority, u.sub.Tasks = "rush", "high", 1+r.IntN(3)
+	case 1:
+		u.sub.Priority, u.sub.CheckpointS, u.sub.SaveS, u.sub.CPUs = "best_effort", 3, 1, 4
+	case 2:
+		u.sub.OneZone = true
+	case 3:
+		u.sub.Apart = true
+	case 4:
+		u.sub.Spot, u.sub.Types = false, []string{"small"}
+	}
+	u.cancels = r.IntN(6) == 0
+	if r.IntN(12) == 0 {
+		u.bad, u.cancels = true, true
+	}
+	for range u.sub.Tasks {
+		u.runs = append(u.runs, s.span(2*sec, 12*sec))
+	}
+	u.progress = make([]micros.Micros, u.sub.Tasks)
+	return u
+}
+
+// node picks the node that the balancer sends the user to.
+func (u *user) node() *Node { return u.sim.Nodes[u.sim.rng.IntN(len(u.sim.Nodes))] }
+
+func (u *user) request(make func(core.ReplyID) core.Input, timeout micros.Micros, done func(core.Answer, bool)) {
+	n := u.node()
+	exchange(u.sim, "user-"+n.label, timeout, func(reply func(core.Answer)) { n.ask(make, reply) }, done)
+}
+
+func (u *user) submit() {
+	s := u.sim
+	u.submitted = true
+	u.tries++
+	u.request(func(id core.ReplyID) core.Input { return core.Submit{Reply: id, Job: u.sub} }, 5*sec, func(a core.Answer, ok bool) {
+		switch {
+		case ok && (a.Status == 201 || a.Status == 200):
+			u.accepted = true
+			u.hear(a)
+			s.after(s.span(sec, 3*sec), u.poll)
+			if u.cancels {
+				s.after(s.span(sec/10, 25*sec), u.withdraw)
+			}
+			s.after(s.span(2*sec, 60*sec), u.again)
+		case ok && (a.Status == 400 || a.Status == 422):
+			s.broken("a good submission of %s got %d", u.sub.ID, a.Status)
+		case u.tries > 60:
+			u.gaveUp = true
+		default:
+			s.after(sec, u.submit)
+		}
+	})
+}
+
+// again repeats the submission of an accepted job.
+func (u *user) again() {
+	u.request(func(id core.ReplyID) core.Input { return core.Submit{Reply: id, Job: u.sub} }, 5*sec, func(a core.Answer, ok bool) {
+		if ok && (a.Status == 400 || a.Status == 422 || a.Status == 404) {
+			u.sim.broken("forgotten: a repeated submission of %s got %d", u.sub.ID, a.Status)
+		}
+	})
+}
+
+func (u *user) poll() {
+	s := u.sim
+	if s.chance(0.05) {
+		ghost := fmt.Sprintf("job-%06d", 900000+s.rng.IntN(1000))
+		u.request(func(id core.ReplyID) core.Input { return core.Poll{Reply: id, ID: ghost} }, 2*sec, func(a core.Answer, ok bool) {
+			if ok && a.Status == 200 {
+				s.broken("invented: %s", ghost)
+			}
+		})
+	}
+	u.request(func(id core.ReplyID) core.Input { return core.Poll{Reply: id, ID: u.sub.ID} }, 2*sec, func(a core.Answer, ok bool) {
+		if ok {
+			u.hear(a)
+		}
+		wait := 2 * sec
+		if u.told != "" {
+			wait = 10 * sec // final answers are asked for again later
+		}
+		s.after(wait, u.poll)
+	})
+}
+
+func (u *user) withdraw() {
+	s := u.sim
+	if u.told != "" {
+		return
+	}
+	u.asked = true
+	u.request(func(id core.ReplyID) core.Input { return core.Withdraw{Reply: id, ID: u.sub.ID} }, 5*sec, func(a core.Answer, ok bool) {
+		if ok {
+			u.hear(a)
+		}
+		if u.told == "" {
+			s.after(sec, u.withdraw)
+		}
+	})
+}
+
+// hear holds an answer against what was said before and what is true.
+func (u *user) hear(a core.Answer) {
+	s := u.sim
+	if a.Status == 404 && u.accepted {
+		s.broken("forgotten: %s got 404", u.sub.ID)
+		return
+	}
+	body, ok := a.Body.(wire.JobAnswer)
+	if !ok || a.Status != 200 && a.Status != 201 {
+		return
+	}
+	if u.told != "" && body.State != u.told {
+		s.broken("went_back: %s was %s and is now %s", u.sub.ID, u.told, body.State)
+	}
+	switch body.State {
+	case wire.StateDone:
+		if len(u.done) < u.sub.Tasks {
+			s.broken("not_done: %s called done, %d of %d tasks are", u.sub.ID, len(u.done), u.sub.Tasks)
+		}
+		u.told = body.State
+	case wire.StateCancelled:
+		if !u.asked {
+			s.broken("went_back: %s is called cancelled, nobody asked for it", u.sub.ID)
+		}
+		if u.cancelTold == 0 {
+			u.cancelTold = s.now
+		}
+		u.told = body.State
+	}
+	if body.Done != nil && *body.Done > u.sub.Tasks {
+		s.broken("not_done: %s says %d of %d tasks are done", u.sub.ID, *body.Done, u.sub.Tasks)
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,341 @@
+package standin
+
+import (
+	"slices"
+	"strconv"
+
+	"garnethitch/internal/core"
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// Worker is a machine with its worker.
+type Worker struct {
+	sim       *Sim
+	id        string
+	typ, zone string
+	spot      bool
+	rate      int64
+	born      micros.Micros
+	upAt      micros.Micros
+	dead      bool
+	returned  bool
+	taken     bool
+	takenAt   micros.Micros
+	hungUntil micros.Micros
+	sickUntil micros.Micros
+
+	session, seq, token uint64
+	began               micros.Micros // of the session, or when the last answered report was sent
+	tasks               map[string]*task
+	images              map[string]bool
+	node                int
+	busy                bool
+	nextReport          micros.Micros
+	lastReport          micros.Micros
+	changed             bool
+	pendingCalls        []func()
+}
+
+type task struct {
+	name, job string
+	idx       int
+	attempt   uint64
+	state     string
+	why       string
+	kept      bool
+	until     micros.Micros
+}
+
+// onMachine: it has its image and has not exited.
+func (t *task) onMachine() bool { return t.state == wire.TaskRunning || t.state == wire.TaskSaving }
+
+func newWorker(s *Sim, id string, k kind, boot micros.Micros) *Worker {
+	w := &Worker{sim: s, id: id, typ: k.typ, zone: k.zone, spot: k.spot, born: s.now, upAt: s.now + boot,
+		session: 1, tasks: map[string]*task{}, images: map[string]bool{}, node: s.rng.IntN(s.plan.Nodes), rate: s.rng.Int64N(501)}
+	s.after(boot, func() {
+		w.began = w.clock()
+		w.tick()
+	})
+	return w
+}
+
+// clock is the worker's steady clock.
+func (w *Worker) clock() micros.Micros {
+	return w.sim.now + micros.Micros(int64(w.sim.now)*w.rate/1_000_000)
+}
+
+func (w *Worker) order() []string {
+	var out []string
+	for k := range w.tasks {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// notice announces that the cloud takes the machine, or takes it at once.
+func (w *Worker) notice(d micros.Micros) {
+	if w.dead || w.takenAt != 0 {
+		return
+	}
+	w.takenAt = w.sim.now + d
+	w.changed = true
+	w.sim.after(d, func() { w.dead, w.taken = true, true })
+}
+
+// tick lets time pass on the machine. A hanging one does nothing, and looks at
+// its lease first when it goes on.
+func (w *Worker) tick() {
+	s := w.sim
+	if w.dead {
+		return
+	}
+	if s.now < w.hungUntil {
+		s.at(w.hungUntil, w.tick)
+		return
+	}
+	s.after(s.span(80*ms, 120*ms), w.tick)
+	w.lapse()
+	for _, f := range w.pendingCalls {
+		f()
+	}
+	w.pendingCalls = nil
+	for _, key := range w.order() {
+		t := w.tasks[key]
+		u := s.userOf(t.job)
+		if s.now < t.until {
+			continue
+		}
+		switch t.state {
+		case wire.TaskFetching:
+			w.images[u.sub.Image] = true
+			if u.done[t.idx] {
+				t.state, t.why = wire.TaskExited, wire.WhyDone
+			} else {
+				t.state = wire.TaskRunning
+				t.until = s.now + u.runs[t.idx] - u.progress[t.idx]
+				s.starting(w, t)
+				if s.now < w.sickUntil || u.bad {
+					t.until = s.now + s.span(200*ms, sec)
+				}
+			}
+			w.changed = true
+		case wire.TaskRunning:
+			if s.now < w.sickUntil || u.bad {
+				t.state, t.why = wire.TaskExited, wire.WhyError
+			} else {
+				t.state, t.why = wire.TaskExited, wire.WhyDone
+				u.done[t.idx] = true
+				s.Finished++
+			}
+			w.changed = true
+		case wire.TaskSaving:
+			t.state, t.why, t.kept = wire.TaskExited, wire.WhyStopped, true
+			w.changed = true
+		}
+		if t.onMachine() && u.cancelTold != 0 && s.now > u.cancelTold+s.cfg.Cancel {
+			s.broken("ran_cancelled: %s is still on %s", t.name, w.id)
+		}
+	}
+	for _, key := range w.order() {
+		t := w.tasks[key]
+		if u := s.userOf(t.job); t.onMachine() && u.cancelTold != 0 && s.now > u.cancelTold+s.cfg.Cancel {
+			s.broken("ran_cancelled: %s is still on %s", t.name, w.id)
+		}
+	}
+	if !w.busy && (s.now >= w.nextReport || w.changed && s.now >= w.lastReport+500*ms) {
+		w.report()
+	}
+}
+
+// lapse ends the session once the lease has run out.
+func (w *Worker) lapse() {
+	if w.clock() > w.began+w.sim.cfg.WorkerLease {
+		w.session++
+		w.tasks = map[string]*task{}
+		w.began = w.clock()
+		w.changed = true
+	}
+}
+
+func (w *Worker) reportBody() *wire.Report {
+	w.seq++
+	r := &wire.Report{Machine: w.id, Addr: w.id, Type: w.typ, Zone: w.zone, Spot: w.spot, Session: w.session, Seq: w.seq, Token: w.token}
+	if w.takenAt != 0 {
+		left := (w.takenAt - w.sim.now).Seconds()
+		r.NoticeS = &left
+	}
+	for _, key := range w.order() {
+		t := w.tasks[key]
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, State: t.state, Why: t.why, Saved: t.kept})
+	}
+	return r
+}
+
+func (w *Worker) report() {
+	s := w.sim
+	w.busy, w.changed = true, false
+	w.lastReport = s.now
+	w.nextReport = s.now + s.span(s.cfg.ReportEvery*3/4, s.cfg.ReportEvery*5/4)
+	rep, sent, session := w.reportBody(), w.clock(), w.session
+	n := s.Nodes[w.node]
+	exchange(s, n.label+"-"+w.id, 4*sec,
+		func(reply func(core.Answer)) {
+			n.ask(func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: *rep} }, reply)
+		},
+		func(a core.Answer, ok bool) {
+			act := func() {
+				w.busy = false
+				w.answered(a, ok, sent, session)
+			}
+			if s.now < w.hungUntil {
+				w.pendingCalls = append(w.pendingCalls, act)
+				return
+			}
+			act()
+		})
+}
+
+func (w *Worker) answered(a core.Answer, ok bool, sent micros.Micros, session uint64) {
+	s := w.sim
+	if w.dead {
+		return
+	}
+	w.lapse()
+	next := func() {
+		w.node = (w.node + 1) % len(s.Nodes)
+		w.nextReport = s.now + sec
+	}
+	if !ok {
+		next()
+		return
+	}
+	if a.Status == 421 {
+		if rd, ok := a.Body.(wire.Redirect); ok {
+			for i, n := range s.Nodes {
+				if n.label == rd.ReportTo && i != w.node {
+					w.node = i
+					w.nextReport = s.now
+					return
+				}
+			}
+		}
+		next()
+		return
+	}
+	body, isAnswer := a.Body.(wire.ReportAnswer)
+	if a.Status != 200 || !isAnswer {
+		next()
+		return
+	}
+	if session != w.session || body.Token < w.token || s.now-w.lastReport > 4*sec {
+		return
+	}
+	w.raise(body.Token)
+	w.began = max(w.began, sent)
+	w.execute(body.Commands)
+}
+
+func (w *Worker) raise(token uint64) {
+	if token > w.token {
+		w.token = token
+		w.changed = true
+	}
+}
+
+func (w *Worker) serve(req any, reply func(core.Result)) {
+	if w.dead || w.sim.now < w.upAt {
+		return
+	}
+	if w.sim.now < w.hungUntil {
+		// Held in its sockets until it goes on; the order of things then is open.
+		w.pendingCalls = append(w.pendingCalls, func() { w.serve(req, reply) })
+		return
+	}
+	w.lapse()
+	o, isOrders := req.(wire.Orders)
+	if !isOrders {
+		reply(core.Result{Status: 200, Body: w.reportBody()})
+		return
+	}
+	if o.Token < w.token || o.Session != w.session {
+		reply(core.Result{Status: 409, Body: w.reportBody()})
+		return
+	}
+	w.raise(o.Token)
+	w.execute(o.Commands)
+	reply(core.Result{Status: 200, Body: w.reportBody()})
+}
+
+func (w *Worker) execute(commands []wire.Command) {
+	s := w.sim
+	for _, c := range commands {
+		key := c.Task + "@" + strconv.FormatUint(c.Attempt, 10)
+		t := w.tasks[key]
+		switch c.Op {
+		case wire.OpStart:
+			if t != nil {
+				continue
+			}
+			job, idx, err := wire.ParseTask(c.Task)
+			u := s.userOf(job)
+			t = &task{name: c.Task, job: job, idx: idx, attempt: c.Attempt, state: wire.TaskFetching}
+			switch {
+			case err != nil || u == nil || idx >= u.sub.Tasks:
+				t.state, t.why = wire.TaskExited, wire.WhyUnknown
+			case w.holds(c.Task):
+				t.state, t.why = wire.TaskExited, wire.WhyInUse
+			case !w.fits(u):
+				t.state, t.why = wire.TaskExited, wire.WhyNoRoom
+			case !w.images[u.sub.Image]:
+				t.until = s.now + s.span(sec/2, 3*sec)
+			}
+			w.tasks[key] = t
+			w.changed = true
+		case wire.OpStop:
+			if t == nil || t.state == wire.TaskExited {
+				continue
+			}
+			u := s.userOf(t.job)
+			if t.state == wire.TaskRunning && u.sub.CheckpointS > 0 && c.GraceS != nil && *c.GraceS >= u.sub.SaveS {
+				u.progress[t.idx] = max(0, u.runs[t.idx]-(t.until-s.now))
+				t.state, t.until = wire.TaskSaving, s.now+micros.FromSeconds(u.sub.SaveS)
+			} else if t.state != wire.TaskSaving || c.GraceS != nil && *c.GraceS == 0 {
+				t.state, t.why = wire.TaskExited, wire.WhyStopped
+			}
+			w.changed = true
+		case wire.OpForget:
+			if t != nil && t.state == wire.TaskExited {
+				delete(w.tasks, key)
+			}
+		}
+	}
+}
+
+func (w *Worker) holds(name string) bool {
+	for _, t := range w.tasks {
+		if t.name == name && t.state != wire.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *Worker) fits(u *user) bool {
+	for _, mt := range offer {
+		if mt.Name != w.typ {
+			continue
+		}
+		cpus, mem := mt.CPUs, mt.MemGB
+		for _, t := range w.tasks {
+			if t.state != wire.TaskExited {
+				o := w.sim.userOf(t.job)
+				cpus -= o.sub.CPUs
+				mem -= o.sub.MemGB
+			}
+		}
+		return cpus+1e-6 >= u.sub.CPUs && mem+1e-6 >= u.sub.MemGB
+	}
+	return false
+}
