--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -735,6 +735,9 @@
 		}
 	}
 	for _, s := range c.own.shares {
+		if s.active && !s.current && c.canAnswer() {
+			c.catchUp(s)
+		}
 		if s.active && !s.loaded && !s.loading && c.canAnswer() {
 			c.loadVersions(s, "", map[string]wire.VersionRecord{}, map[string]uint64{})
 		}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -30,7 +30,11 @@
 	quiet     map[string]micros.Micros
 	// ceiling is the highest mark of another owner that this node heard of; it
 	// never acts below it.
-	ceiling  uint64
+	ceiling uint64
+	// current: this node's view of jobs is at least as new as its claim. Until
+	// then a job that it believes open may long be over.
+	current  bool
+	catching bool
 	loading  bool
 	loaded   bool // the Versions that stood at the claim are known
 	versions map[string]wire.VersionRecord
@@ -199,13 +203,7 @@
 				break
 			}
 			c.own.contact = c.now
-			for _, e := range body.Events {
-				if e.Put != "" {
-					c.applyPut(e.Put, e.Value, e.Version)
-				} else if e.Delete != "" {
-					c.applyDelete(e.Delete, e.Version)
-				}
-			}
+			c.applyEvents(body.Events)
 			w.since = max(w.since, body.Revision)
 		default:
 			if r.Status == 410 {
@@ -371,6 +369,7 @@
 	s.freeAt = c.now + c.bounds.SuccessorFree
 	s.quiet = map[string]micros.Micros{}
 	s.loading, s.loaded, s.versions, s.verMarks = false, false, nil, nil
+	s.current, s.catching = false, false
 	machines := 0
 	for _, id := range sortedKeys(c.mach) {
 		if m := c.mach[id]; m.rec.Share == s.id && !m.rec.Retiring {
@@ -392,11 +391,48 @@
 	for _, p := range c.cfg.Peers {
 		c.sendStatus(c.peers[p])
 	}
+	c.catchUp(s)
 	c.loadVersions(s, "", map[string]wire.VersionRecord{}, map[string]uint64{})
 	c.houseMachines()
 	c.dirty = true
 }
 
+// catchUp brings the view of jobs up to a claim, by one look that does not
+// wait: the long poll may have hung on a cut connection for long.
+func (c *Core) catchUp(s *share) {
+	mark, w := s.mark, &c.own.job
+	if !w.ready || s.catching {
+		return // the listing under way comes first; houseMachines asks again
+	}
+	s.catching = true
+	c.askState(prioLease, Watch{Prefix: w.prefix, Since: w.since}, 2*micros.Second, func(r Result) {
+		if !s.active || s.mark != mark {
+			return
+		}
+		s.catching = false
+		body, ok := r.Body.(*wire.Events)
+		if r.Status == 410 {
+			w.ready = false
+		}
+		if !ok || r.Status != 200 || body.Revision < mark {
+			return
+		}
+		c.applyEvents(body.Events)
+		s.current = true
+		c.dirty = true
+	})
+}
+
+func (c *Core) applyEvents(events []wire.Event) {
+	for _, e := range events {
+		if e.Put != "" {
+			c.applyPut(e.Put, e.Value, e.Version)
+		} else if e.Delete != "" {
+			c.applyDelete(e.Delete, e.Version)
+		}
+	}
+}
+
 // deactivate lets a share go: nothing is remembered of it that a later claim
 // could mistake for knowledge.
 func (c *Core) deactivate(s *share) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -140,7 +140,7 @@
 		return
 	}
 	j := c.jobs.open[a.ID]
-	if j == nil || j.run == nil || c.acting(j.share) == nil || !c.canAnswer() {
+	if j == nil || !c.speaksFor(j) {
 		if j == nil && a.Cancel && wire.ValidID(a.ID) {
 			// The watch may not have brought it yet.
 			c.readJob(a.ID, func(status int) {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -117,7 +117,7 @@
 		if j.share != s.id || r == nil || !r.ready || r.want != "" || j.knownAt > known {
 			continue
 		}
-		if !r.fresh && !settled {
+		if !r.fresh && !(settled && s.current) {
 			continue // a former owner may have started its tasks on a machine unheard of
 		}
 		if j.pending() > 0 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -153,6 +153,7 @@
 func (w *Worker) lapse() {
 	if w.clock() > w.began+w.sim.cfg.WorkerLease {
 		w.session++
+		w.sim.trace("%s lease over, session %d, %d tasks killed", w.id, w.session, len(w.tasks))
 		w.tasks = map[string]*task{}
 		w.began = w.clock()
 		w.changed = true
@@ -271,6 +272,7 @@
 func (w *Worker) execute(commands []wire.Command) {
 	s := w.sim
 	for _, c := range commands {
+		s.trace("%s %s %s attempt %x", w.id, c.Op, c.Task, c.Attempt)
 		key := c.Task + "@" + strconv.FormatUint(c.Attempt, 10)
 		t := w.tasks[key]
 		switch c.Op {
