Level machines between shares by part, price-weighted renting, no starving groups

Cause: jobs that no machine of the fleet could run starved (simulation, real); idle machines were kept 25 s and moved to and fro.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -203,7 +203,7 @@
 	peers  map[string]*peerView
 	mach   map[string]*machine
 	types  map[string]wire.MachineType
-	hosts  typeIndex
+	index  typeIndex
 	runs   estimates
 	heard  map[string]micros.Micros // machines that reported here but belong elsewhere
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -40,6 +40,7 @@
 	returning map[string]bool
 	returned  map[string]micros.Micros // the cloud has confirmed it
 	asked     map[string]micros.Micros // releases asked for
+	goingTo   map[string]going
 	planNext  micros.Micros
 }
 
@@ -83,6 +84,7 @@
 	f.returning = map[string]bool{}
 	f.returned = map[string]micros.Micros{}
 	f.asked = map[string]micros.Micros{}
+	f.goingTo = map[string]going{}
 	f.hire = nil
 }
 
@@ -168,7 +170,7 @@
 		return
 	}
 	c.types = types
-	c.hosts.names = sortedKeys(types)
+	c.index.names = sortedKeys(types)
 	c.dirty = true
 	if !fromCloud || !c.leading() {
 		return
@@ -321,6 +323,15 @@
 	return work
 }
 
+// waitingCPUs is what a share's waiting tasks would take at once.
+func waitingCPUs(d *peer.Demand) float64 {
+	w := 0.0
+	for _, g := range d.Groups {
+		w += float64(g.Waiting) * g.CPUs
+	}
+	return w
+}
+
 // demands tells what the shares of this node want.
 func (c *Core) demands() []peer.Demand {
 	var out []peer.Demand
@@ -337,37 +348,33 @@
 		rooms, used := c.rooms(s)
 		for _, r := range rooms {
 			v, mt := r.m.v, c.types[r.m.rec.Type]
-			state, since := 0, micros.Micros(0)
+			row := peer.Machine{ID: r.m.id, State: peer.MachineBusy}
+			silent := c.now - max(v.heard, v.since)
 			switch {
-			case v.gone || c.now-max(v.heard, v.since) > c.silence()+c.cfg.ReportEvery:
-				state, since = peer.MachineSilent, c.now-max(v.heard, v.since)
+			case v.gone || silent > c.silence()+c.cfg.ReportEvery:
+				row.State, row.SinceUS = peer.MachineSilent, int64(silent)
 			case v.sick && c.now < v.asideUntil || v.takenAt != 0 || c.slowness(r.m) > 0.4 && v.slowN > 3:
-				state = peer.MachineBad
-				if v.sick || v.takenAt != 0 {
-					state = peer.MachineBad
-				}
-			case !v.settled:
-			case len(v.slots) == 0:
-				state, since = peer.MachineIdle, c.now-v.idleAt
-			default:
-				state = peer.MachineBusy
+				row.State = peer.MachineBad
+			case v.leaving || c.now < v.goingTo:
+				row.State = peer.MachineGoing
+			case v.settled && len(v.slots) == 0:
+				row.State, row.SinceUS = peer.MachineIdle, int64(c.now-v.idleAt)
 			}
-			if state != peer.MachineSilent && state != peer.MachineBad {
+			if row.State == peer.MachineIdle || row.State == peer.MachineBusy {
 				d.CPUs += mt.CPUs
 				d.Busy += mt.CPUs - max(r.cpus, 0)
 			}
-			if state != 0 && state != peer.MachineBusy {
-				d.Machines = append(d.Machines, peer.Machine{ID: r.m.id, State: state, SinceUS: int64(since)})
-			}
 			for _, sl := range v.slots {
 				if sl.job != nil && sl.state != slotExited {
 					left := c.runs.expect(sl.job.sub)
 					if sl.runAt > 0 {
 						left = max(left-(c.now-sl.runAt), left/10)
 					}
+					row.LeftUS = max(row.LeftUS, int64(left))
 					d.RunLeftUS += int64(float64(left) * sl.job.sub.CPUs)
 				}
 			}
+			d.Machines = append(d.Machines, row)
 		}
 		d.Groups = c.groups(s, used)
 		out = append(out, d)
@@ -580,6 +587,11 @@
 	var groups []peer.Group
 	for _, d := range demand {
 		have += d.CPUs
+		for _, m := range d.Machines {
+			if rec := c.mach[m.ID]; rec != nil && m.State == peer.MachineGoing {
+				have += c.types[rec.rec.Type].CPUs
+			}
+		}
 		work += workOf(d)
 		parallel += d.Busy
 		arrival += d.ArrivalCPUs
@@ -588,19 +600,78 @@
 			groups = append(groups, g)
 		}
 	}
-	need := max(work/c.cfg.DrainHorizon.Seconds(), arrival)
-	need = min(need, parallel)
-	c.moveIdle(demand)
-	deficit := need - have - booting
-	c.log(Debug, "fleet", "need", need, "have", have, "booting", booting, "work", work, "parallel", parallel)
-	if deficit > 0.5 && f.hire == nil && count < c.cfg.MaxMachines {
-		c.rent(groups, deficit, c.cfg.MaxMachines-count)
+	if c.fleet.hire == nil && count < c.cfg.MaxMachines {
+		c.rent(groups, want{work: work, arrival: arrival, parallel: parallel, have: have + booting}, c.cfg.MaxMachines-count)
+	}
+	busy := 0.0
+	for _, s := range c.own.shares {
+		if d := demand[s.id]; d != nil {
+			busy += d.Busy
+			c.log(Debug, "share demand", "share", s.id, "cpus", d.CPUs, "busy", d.Busy, "waiting", waitingCPUs(d), "work", workOf(d))
+		}
 	}
-	c.returnIdle(demand, have+booting-need)
+	c.log(Debug, "fleet", "have", have, "busy", busy, "booting", booting, "work", work, "arrival", arrival, "parallel", parallel)
+	c.level(demand)
+	c.returnIdle(demand, want{work: work, arrival: arrival, parallel: parallel, have: have + booting}, count >= c.cfg.MaxMachines)
 	c.replaceBad(demand)
 }
 
-func (c *Core) rent(groups []peer.Group, deficit float64, most int) {
+// want sums up what the shares want and have, in CPUs and CPU seconds.
+type want struct{ work, arrival, parallel, have float64 }
+
+// need is how many CPUs are worth having at a price that is ratio times the
+// lowest: the dearer a machine, the longer the work would have to wait without it.
+func (c *Core) need(w want, ratio float64) float64 {
+	return min(max(w.work/(c.cfg.DrainHorizon.Seconds()*ratio), w.arrival/ratio), w.parallel)
+}
+
+// price of a CPU for an hour.
+func cpuPrice(mt wire.MachineType, spot bool) float64 {
+	if spot {
+		return mt.SpotPrice / max(mt.CPUs, 0.01)
+	}
+	return mt.Price / max(mt.CPUs, 0.01)
+}
+
+// lowestPrice of a CPU over all types and kinds.
+func (c *Core) lowestPrice() float64 {
+	lowest := math.Inf(1)
+	for _, mt := range c.types {
+		for _, spot := range []bool{true, false} {
+			if p := cpuPrice(mt, spot); p > 0 {
+				lowest = min(lowest, p)
+			}
+		}
+	}
+	return lowest
+}
+
+// hosts tells whether a group's tasks could run on a machine.
+func (c *Core) hosts(g peer.Group, typ, zone string, spot bool) bool {
+	mt, ok := c.types[typ]
+	return ok && (g.Any || slices.Contains(g.Types, typ)) && (g.Zone == "" || g.Zone == zone) && (g.Spot || !spot) &&
+		mt.CPUs+eps >= g.CPUs && mt.GPUs+eps >= g.GPUs && mt.MemGB+eps >= g.MemGB
+}
+
+// homeless tells whether no machine of the fleet, up or on its way, could run
+// a group's tasks.
+func (c *Core) homeless(g peer.Group) bool {
+	for _, m := range c.mach {
+		if !m.rec.Retiring && c.hosts(g, m.rec.Type, m.rec.Zone, m.rec.Spot) {
+			return false
+		}
+	}
+	for _, r := range c.fleet.rented {
+		if c.hosts(g, r.typ, r.zone, r.spot) {
+			return false
+		}
+	}
+	return true
+}
+
+// rent orders the cheapest machines that the waiting work can use, as long as
+// there are fewer than are worth their price.
+func (c *Core) rent(groups []peer.Group, w want, most int) {
 	f := &c.fleet
 	// The largest waiting work decides what is rented.
 	slices.SortStableFunc(groups, func(a, b peer.Group) int {
@@ -608,58 +679,60 @@
 	})
 	type option struct {
 		kind
-		price float64
-		cpus  float64
+		price, unit, cpus float64
+	}
+	lowest := c.lowestPrice()
+	inZone := map[string]int{}
+	for _, m := range c.mach {
+		inZone[m.rec.Zone]++
 	}
 	for _, g := range groups {
 		if g.Waiting == 0 {
 			continue
 		}
+		homeless := c.homeless(g)
+		lack := w.parallel - w.have
+		if homeless {
+			lack = max(lack, min(float64(g.Waiting)*g.CPUs, micros.Micros(g.WorkUS).Seconds()*g.CPUs/c.cfg.DrainHorizon.Seconds()), g.CPUs)
+		}
+		if lack <= 0 {
+			continue
+		}
 		var options []option
-		for _, name := range c.hosts.names {
+		for _, name := range c.index.names {
 			mt := c.types[name]
-			if !g.Any && !slices.Contains(g.Types, name) || mt.CPUs < g.CPUs || mt.GPUs < g.GPUs || mt.MemGB < g.MemGB || mt.CPUs <= 0 {
-				continue
-			}
 			for _, zone := range mt.Zones {
-				if g.Zone != "" && g.Zone != zone {
-					continue
-				}
 				for _, spot := range []bool{true, false} {
 					k := kind{typ: name, zone: zone, spot: spot}
-					if spot && !g.Spot || f.refused[k] != nil && c.now < f.refused[k].until {
+					if mt.CPUs <= 0 || !c.hosts(g, name, zone, spot) || f.refused[k] != nil && c.now < f.refused[k].until {
 						continue
 					}
-					price := mt.Price
-					if spot {
-						price = mt.SpotPrice
-					}
+					unit := cpuPrice(mt, spot)
 					// What would stand unused is paid as well.
-					price /= min(mt.CPUs, max(deficit, g.CPUs))
-					options = append(options, option{kind: k, price: price, cpus: mt.CPUs})
+					options = append(options, option{kind: k, unit: unit, price: unit * mt.CPUs / min(mt.CPUs, max(lack, g.CPUs)), cpus: mt.CPUs})
 				}
 			}
 		}
-		if len(options) == 0 {
-			continue
-		}
-		inZone := map[string]int{}
-		for _, m := range c.mach {
-			inZone[m.rec.Zone]++
-		}
 		slices.SortStableFunc(options, func(a, b option) int {
 			return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(inZone[a.zone], inZone[b.zone]))
 		})
-		o := options[0]
-		n := int(math.Ceil(deficit/o.cpus - 0.25))
-		n = max(1, min(n, 50, most))
-		f.hires++
-		f.hire = &hire{leader: c.own.leader.mark, req: wire.Rental{
-			Request: fmt.Sprintf("r-%d-%d", c.own.leader.mark, f.hires),
-			Type:    o.typ, Zone: o.zone, Spot: o.spot, Count: n,
-		}}
-		c.sendHire()
-		return
+		for _, o := range options {
+			deficit := c.need(w, max(o.unit/lowest, 1)) - w.have
+			if homeless {
+				deficit = max(deficit, lack)
+			}
+			if deficit < 0.5 {
+				continue
+			}
+			n := max(1, min(int(math.Ceil(deficit/o.cpus-0.25)), 50, most))
+			f.hires++
+			f.hire = &hire{leader: c.own.leader.mark, req: wire.Rental{
+				Request: fmt.Sprintf("r-%d-%d", c.own.leader.mark, f.hires),
+				Type:    o.typ, Zone: o.zone, Spot: o.spot, Count: n,
+			}}
+			c.sendHire()
+			return
+		}
 	}
 }
 
@@ -724,16 +797,21 @@
 	c.log(Debug, "no more machines of a kind for now", "type", k.typ, "zone", k.zone, "spot", k.spot)
 }
 
+// going is a machine on its way to another share.
+type going struct {
+	share int
+	until micros.Micros
+}
+
 // askRelease asks a machine's owner to let it go.
-func (c *Core) askRelease(id string, retire bool, to int) {
+func (c *Core) askRelease(r peer.Release) {
 	f := &c.fleet
-	m := c.mach[id]
-	if m == nil || c.now < f.asked[id]+3*micros.Second && f.asked[id] != 0 {
+	m := c.mach[r.Machine]
+	if m == nil || f.asked[r.Machine] != 0 && c.now < f.asked[r.Machine]+2*micros.Second {
 		return
 	}
-	f.asked[id] = c.now
-	r := peer.Release{Machine: id, Retire: retire, Share: to}
-	if retire {
+	f.asked[r.Machine] = c.now
+	if r.Retire {
 		r.Share = m.rec.Share
 	}
 	s := c.own.shares[m.rec.Share]
@@ -746,82 +824,184 @@
 	}
 }
 
-// moveIdle gives idle machines of shares without waiting work to those whose
-// queue waits.
-func (c *Core) moveIdle(demand map[int]*peer.Demand) {
-	waiting := func(d *peer.Demand) float64 {
-		w := 0.0
-		for _, g := range d.Groups {
-			w += float64(g.Waiting) * g.CPUs
-		}
-		return w
-	}
+// level moves machines to the shares whose queues wait: idle ones at once, busy
+// ones as they empty, where a share has more than its part of the fleet.
+func (c *Core) level(demand map[int]*peer.Demand) {
+	part := c.parts(demand)
+	has := map[int]float64{}
 	lack := map[int]float64{}
 	for id, d := range demand {
-		lack[id] = waiting(d)
+		has[id] = d.CPUs
+		lack[id] = max(0, waitingCPUs(d)-(d.CPUs-d.Busy))
 	}
-	for _, s := range c.own.shares {
-		d := demand[s.id]
-		if d == nil || waiting(d) > 0 {
-			continue
+	type row struct {
+		peer.Machine
+		from int
+		cpus float64
+	}
+	var rows []row
+	for _, id := range shareIDs(demand) {
+		for _, m := range demand[id].Machines {
+			rec := c.mach[m.ID]
+			if rec == nil {
+				continue
+			}
+			cpus := c.types[rec.rec.Type].CPUs
+			switch {
+			case m.State == peer.MachineGoing:
+				// On its way out already: it counts where it goes.
+				if to, ok := c.fleet.goingTo[m.ID]; ok && c.now < to.until {
+					has[to.share] += cpus
+					lack[to.share] = max(0, lack[to.share]-cpus)
+					c.askRelease(peer.Release{Machine: m.ID, Share: to.share, Drain: true})
+				}
+			case m.State == peer.MachineIdle || m.State == peer.MachineBusy:
+				rows = append(rows, row{m, id, cpus})
+			}
 		}
-		for _, m := range d.Machines {
-			if m.State != peer.MachineIdle || c.mach[m.ID] == nil {
+	}
+	slices.SortStableFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID))
+	})
+	for _, r := range rows {
+		idle := r.State == peer.MachineIdle
+		to, most := -1, 0.5
+		for _, id := range shareIDs(demand) {
+			if id == r.from || !c.useful(demand[id], c.mach[r.ID]) {
 				continue
 			}
-			best, most := -1, 0.0
-			for id := range c.own.shares {
-				if l := lack[id]; id != s.id && l > most {
-					best, most = id, l
+			gap := part[id] - has[id]
+			if idle {
+				gap = max(gap, 0) + 0.01 // any queue is better than none
+			}
+			if v := min(lack[id], gap); v > most || idle && lack[id] > 0.5 && to < 0 {
+				to, most = id, v
+			}
+		}
+		own := demand[r.from]
+		switch {
+		case to < 0:
+			continue
+		case idle && waitingCPUs(own) > 0 && c.useful(own, c.mach[r.ID]):
+			continue // its own share is about to use it
+		case !idle && (most < r.cpus/2 || has[r.from]-part[r.from] < r.cpus/2 || r.LeftUS > int64(45*micros.Second)):
+			continue
+		}
+		has[r.from] -= r.cpus
+		has[to] += r.cpus
+		lack[to] -= r.cpus
+		if !idle {
+			c.fleet.goingTo[r.ID] = going{share: to, until: c.now + 45*micros.Second}
+		}
+		c.askRelease(peer.Release{Machine: r.ID, Share: to, Drain: !idle})
+	}
+}
+
+// useful tells whether a share's waiting tasks could use a machine.
+func (c *Core) useful(d *peer.Demand, m *machine) bool {
+	for _, g := range d.Groups {
+		if g.Waiting > 0 && c.hosts(g, m.rec.Type, m.rec.Zone, m.rec.Spot) {
+			return true
+		}
+	}
+	return false
+}
+
+// parts says how many of the fleet's CPUs each share should have: first its
+// guarantees, as far as it can use them, then by the work that waits.
+func (c *Core) parts(demand map[int]*peer.Demand) map[int]float64 {
+	total, part, can := 0.0, map[int]float64{}, map[int]float64{}
+	for id, d := range demand {
+		total += d.CPUs
+		can[id] = d.Busy + waitingCPUs(d)
+	}
+	give := func(weight func(int) float64, limit func(int) float64) {
+		for range 4 { // what one can't use goes to the others
+			sum := 0.0
+			for _, id := range shareIDs(demand) {
+				if part[id] < limit(id)-eps {
+					sum += weight(id)
 				}
 			}
-			if best < 0 {
+			if sum <= 0 || total <= eps {
 				return
 			}
-			lack[best] -= c.types[c.mach[m.ID].rec.Type].CPUs
-			c.askRelease(m.ID, false, best)
+			left := total
+			for _, id := range shareIDs(demand) {
+				if room := limit(id) - part[id]; room > eps {
+					x := min(room, left*weight(id)/sum)
+					part[id] += x
+					total -= x
+				}
+			}
 		}
 	}
+	guarantee := func(id int) float64 { return demand[id].Guarantee }
+	give(guarantee, func(id int) float64 { return min(guarantee(id), can[id]) })
+	give(func(id int) float64 { return workOf(demand[id]) }, func(id int) float64 { return can[id] })
+	return part
 }
 
 // returnIdle returns machines that idle, the dearest first, as long as there is
-// more than is needed.
-func (c *Core) returnIdle(demand map[int]*peer.Demand, surplus float64) {
+// more than is needed. pressed: the fleet may not grow, so that an idle machine
+// of no use keeps out one that is of use.
+func (c *Core) returnIdle(demand map[int]*peer.Demand, w want, pressed bool) {
 	type idle struct {
 		id          string
 		cpus, price float64
+		since       micros.Micros
 	}
 	var list []idle
 	for _, d := range demand {
 		for _, m := range d.Machines {
 			rec := c.mach[m.ID]
-			if m.State != peer.MachineIdle || micros.Micros(m.SinceUS) < c.cfg.IdleReturn || rec == nil {
+			if m.State != peer.MachineIdle || rec == nil {
 				continue
 			}
 			mt := c.types[rec.rec.Type]
-			price := mt.Price
-			if rec.rec.Spot {
-				price = mt.SpotPrice
-			}
-			list = append(list, idle{m.ID, mt.CPUs, price / max(mt.CPUs, 1)})
+			list = append(list, idle{m.ID, mt.CPUs, cpuPrice(mt, rec.rec.Spot), micros.Micros(m.SinceUS)})
 		}
 	}
 	slices.SortFunc(list, func(a, b idle) int {
 		return cmp.Or(-cmp.Compare(a.price, b.price), cmp.Compare(a.id, b.id))
 	})
+	lowest := c.lowestPrice()
+	reserve := c.reserve(w)
 	for _, i := range list {
-		if surplus >= i.cpus {
-			surplus -= i.cpus
-			c.askRelease(i.id, true, 0)
+		wanted := max(c.need(w, max(i.price/lowest, 1)), min(w.parallel, w.have))
+		surplus := w.have - wanted
+		keep := c.cfg.IdleReturn
+		if surplus-i.cpus >= reserve {
+			keep = min(keep, 5*micros.Second)
+		}
+		if surplus >= i.cpus && i.since >= keep || pressed && i.since >= 5*micros.Second {
+			w.have -= i.cpus
+			c.askRelease(peer.Release{Machine: i.id, Retire: true})
+		}
+	}
+}
+
+// reserve is how many CPUs are kept although nothing waits. Where tasks are
+// wanted started sooner than a machine boots, that is what arrives while one
+// would boot; elsewhere nothing.
+func (c *Core) reserve(w want) float64 {
+	boot := micros.Micros(0)
+	for _, mt := range c.types {
+		boot = max(boot, micros.FromSeconds(mt.BootS))
+	}
+	for _, within := range c.cfg.Urgent {
+		if within < boot/2 {
+			return max(w.arrival, w.parallel)
 		}
 	}
+	return 0
 }
 
 // replaceBad retires machines that fail or slow tasks once they are empty, and
 // silent ones if the operators want that.
 func (c *Core) replaceBad(demand map[int]*peer.Demand) {
 	var silent []string
-	for _, id := range c.ownShareIDs(demand) {
+	for _, id := range shareIDs(demand) {
 		d := demand[id]
 		quiet := 0
 		for _, m := range d.Machines {
@@ -838,7 +1018,7 @@
 		for _, m := range d.Machines {
 			switch {
 			case m.State == peer.MachineBad:
-				c.askRelease(m.ID, true, 0)
+				c.askRelease(peer.Release{Machine: m.ID, Retire: true})
 			case m.State == peer.MachineSilent && c.cfg.SilentReturn > 0 && micros.Micros(m.SinceUS) > c.cfg.SilentReturn && 2*quiet <= total:
 				// If most are silent, the fault is rather the owner's network.
 				silent = append(silent, m.ID)
@@ -848,7 +1028,7 @@
 	c.returnMachines(silent)
 }
 
-func (c *Core) ownShareIDs(demand map[int]*peer.Demand) []int {
+func shareIDs(demand map[int]*peer.Demand) []int {
 	var ids []int
 	for id := range demand {
 		ids = append(ids, id)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -34,6 +34,8 @@
 	images  map[string]bool
 	idleAt  micros.Micros // when it last had something on it
 	leaving bool          // it is being released
+	going   peer.Release  // it is to be released once it is empty,
+	goingTo micros.Micros // if that is asked for until then
 
 	orderBusy  bool
 	orderNext  micros.Micros
@@ -672,13 +674,17 @@
 	})
 }
 
-// release lets an idle machine go, at the leader's request.
+// release lets a machine go, at the leader's request: at once if it is idle,
+// else when it is empty, if it may be drained.
 func (c *Core) release(r peer.Release) bool {
 	m := c.mach[r.Machine]
 	if m == nil || m.v == nil || r.Share < 0 || r.Share >= len(c.own.shares) {
 		return false
 	}
 	s := c.acting(m.rec.Share)
+	if s != nil && r.Drain && !m.v.leaving && (r.Retire || r.Share != s.id) {
+		m.v.going, m.v.goingTo = r, c.now+4*micros.Second
+	}
 	if s == nil || !c.canAnswer() || m.v.leaving || m.v.orderBusy || m.v.unclear != 0 || !m.v.settled && !m.v.gone ||
 		len(m.v.slots) > 0 || (!r.Retire && (r.Share == s.id || m.v.gone)) {
 		return false
@@ -733,6 +739,11 @@
 		if v.takenAt != 0 {
 			c.drain(m)
 		}
+		if c.now < v.goingTo && !v.leaving && len(v.slots) == 0 {
+			now := v.going
+			now.Drain = false // or it would prolong itself
+			c.release(now)
+		}
 	}
 	for _, s := range c.own.shares {
 		if s.active && !s.current && c.canAnswer() {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -92,7 +92,7 @@
 				used[i].gpus += mt.GPUs
 			}
 		}
-		r.usable = known && v.settled && !full && !v.leaving && v.takenAt == 0 &&
+		r.usable = known && v.settled && !full && !v.leaving && c.now >= v.goingTo && v.takenAt == 0 &&
 			c.now >= v.asideUntil && c.now >= v.restUntil && c.now-v.heard < c.silence()
 		if v.restUntil > c.now {
 			c.wakeIn(v.restUntil - c.now)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -279,7 +279,7 @@
 	if t.CPUsMax > 0 && sub.CPUs > t.CPUsMax || t.GPUsMax > 0 && sub.GPUs > t.GPUsMax {
 		return false
 	}
-	for _, name := range c.hosts.names {
+	for _, name := range c.index.names {
 		mt := c.types[name]
 		if typeAllowed(sub, name) && sub.CPUs <= mt.CPUs && sub.GPUs <= mt.GPUs && sub.MemGB <= mt.MemGB {
 			if sub.Zone == "" {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -92,6 +92,7 @@
 	MachineSilent = 2 // not heard of for a while
 	MachineBad    = 3 // to be replaced: it fails or slows tasks, or is being taken away
 	MachineBusy   = 4
+	MachineGoing  = 5 // it takes no more tasks and leaves once it is empty
 )
 
 // Machine is one machine of a share that the leader should know about.
@@ -99,6 +100,8 @@
 	ID      string `msgpack:"i"`
 	State   int    `msgpack:"s"`
 	SinceUS int64  `msgpack:"t"` // for how long
+	// LeftUS is how long its tasks will probably take yet.
+	LeftUS int64 `msgpack:"l,omitempty"`
 }
 
 // Ask asks the owner about a job, or to cancel it.
@@ -122,10 +125,13 @@
 	Record []byte `msgpack:"r"` // the record as stored
 }
 
-// Release asks an owner to let an idle machine go: to another share, or for good.
+// Release asks an owner to let a machine go: to another share, or for good. One
+// that is not idle is let go only if Drain is set, once it is empty; until then
+// it takes no more tasks, as long as the leader goes on asking.
 type Release struct {
 	Machine string `msgpack:"m"`
 	Retire  bool   `msgpack:"r,omitempty"`
+	Drain   bool   `msgpack:"d,omitempty"`
 	Share   int    `msgpack:"s"`
 }
 
