--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -840,6 +840,7 @@
 		cpus float64
 	}
 	var rows []row
+	leaving := 0
 	for _, id := range shareIDs(demand) {
 		for _, m := range demand[id].Machines {
 			rec := c.mach[m.ID]
@@ -851,6 +852,7 @@
 			case m.State == peer.MachineGoing:
 				// On its way out already: it counts where it goes.
 				if to, ok := c.fleet.goingTo[m.ID]; ok && c.now < to.until {
+					leaving++
 					has[to.share] += cpus
 					lack[to.share] = max(0, lack[to.share]-cpus)
 					c.askRelease(peer.Release{Machine: m.ID, Share: to.share, Drain: true})
@@ -884,8 +886,11 @@
 			continue
 		case idle && waitingCPUs(own) > 0 && c.useful(own, c.mach[r.ID]):
 			continue // its own share is about to use it
-		case !idle && (most < r.cpus/2 || has[r.from]-part[r.from] < r.cpus/2 || r.LeftUS > int64(45*micros.Second)):
-			continue
+		case !idle && (most < r.cpus/2 || has[r.from]-part[r.from] < r.cpus/2 || r.LeftUS > int64(15*micros.Second) || leaving >= 2):
+			continue // a machine that empties slowly stands half used meanwhile
+		}
+		if !idle {
+			leaving++
 		}
 		has[r.from] -= r.cpus
 		has[to] += r.cpus
