--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,8 +44,12 @@
 	Quarantine   micros.Micros
 	MaxMachines  int
 
-	// Urgent holds the classes whose tasks are wanted started within a time.
-	Urgent map[string]micros.Micros
+	// Urgent holds the classes whose tasks are wanted started within a time,
+	// Finished those whose jobs are wanted done within one.
+	Urgent, Finished map[string]micros.Micros
+	// GuaranteedStart: work within a guarantee is wanted started within this; 0:
+	// nothing is said.
+	GuaranteedStart micros.Micros
 }
 
 // Instant is a reading of both clocks.
