Prefetch images of urgent classes by running a done task again

A done task run again exits as soon as the image is there (PROTOCOL), so it brings the image without running twice. Only where the fetch takes more than a quarter of the time allowed. Ruled out: dispatch (some ms).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -209,6 +209,7 @@
 	types  map[string]wire.MachineType
 	index  typeIndex
 	runs   estimates
+	warm   []warmth
 	heard  map[string]micros.Micros // machines that reported here but belong elsewhere
 
 	teamOf   map[string]int
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -363,6 +363,9 @@
 		return
 	}
 	delete(c.jobs.open, id)
+	if f.state == wire.StateDone {
+		c.noteWarm(j)
+	}
 	r := j.run
 	if r == nil {
 		return
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -41,6 +41,7 @@
 	orderNext  micros.Micros
 	showNext   micros.Micros
 	unclear    uint64 // orders up to this token may still act; 0: none
+	warmNext   micros.Micros
 	raiseBusy  bool
 	raiseNext  micros.Micros
 	takenAt    micros.Micros // the cloud takes it away then; 0: no notice
@@ -95,6 +96,7 @@
 	halt    int
 	haltAt  micros.Micros
 	preempt bool
+	warm    bool // a done task run again for its image only; see warm.go
 	why     string
 	kept    bool
 	acted   bool // exited, and its end is on record or dealt with
@@ -325,6 +327,10 @@
 		if sl.owned || sl.state < slotFetching {
 			continue
 		}
+		if sl.warm {
+			c.warmed(sl)
+			continue
+		}
 		if _, over := c.jobs.final(sl.key.job); over {
 			if sl.state == slotExited {
 				sl.acted = true
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -174,13 +174,15 @@
 // placeShare assigns waiting tasks of one share.
 func (c *Core) placeShare(s *share) {
 	jobs := c.runnable(s)
-	if len(jobs) == 0 {
+	if len(jobs) == 0 && len(c.warm) == 0 {
 		return
 	}
 	rooms, used := c.rooms(s)
+	c.prefetch(s, rooms, used, true)
 	for _, j := range jobs {
 		c.placeJob(s, j, rooms, used)
 	}
+	c.prefetch(s, rooms, used, false)
 }
 
 func (c *Core) placeJob(s *share, j *job, rooms []*room, used []usage) {
@@ -379,7 +381,7 @@
 	cpus, gpus, mem := r.cpus+r.soonCPUs, r.gpus+r.soonGPUs, r.mem+r.soonMem
 	var cands []*slot
 	for _, sl := range r.m.v.slots {
-		if sl.job != nil && sl.owned && sl.halt == haltNone && sl.state != slotExited && sl.job.priority < j.priority {
+		if sl.job != nil && (sl.owned && sl.job.priority < j.priority || sl.warm) && sl.halt == haltNone && sl.state != slotExited {
 			cands = append(cands, sl)
 		}
 	}
--- /dev/null
+++ b/internal/core/warm.go
@@ -0,0 +1,102 @@
+package core
+
+import (
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// Tasks of some classes are wanted started sooner than a machine fetches their
+// image. A machine keeps images in its cache, but fetches one only for a task.
+// So once a job of such a class is done, one of its tasks is run again on
+// machines that lack the image: its result is kept, so it exits as soon as the
+// image is there. It gives way to any other task.
+
+// warmth is an image worth having on every machine, with a done task that brings it.
+type warmth struct {
+	job *job
+	at  micros.Micros
+}
+
+const (
+	maxWarm  = 8
+	warmSpan = 10 * micros.Minute
+)
+
+// noteWarm remembers the image of a job that is done, if its class is urgent.
+func (c *Core) noteWarm(j *job) {
+	if _, urgent := c.cfg.Urgent[j.sub.Class]; !urgent || j.sub.OneZone || j.sub.Apart {
+		return // where its other attempts are would matter
+	}
+	for i := range c.warm {
+		if c.warm[i].job.sub.Image == j.sub.Image {
+			c.warm[i].at = c.now
+			if j.sub.CPUs < c.warm[i].job.sub.CPUs {
+				c.warm[i].job = j
+			}
+			return
+		}
+	}
+	if len(c.warm) == maxWarm {
+		oldest := 0
+		for i := range c.warm {
+			if c.warm[i].at < c.warm[oldest].at {
+				oldest = i
+			}
+		}
+		c.warm[oldest] = warmth{j, c.now}
+		return
+	}
+	c.warm = append(c.warm, warmth{j, c.now})
+}
+
+// prefetch fetches urgent images on machines that lack them: first on empty
+// ones, before they are filled, later wherever there is room.
+func (c *Core) prefetch(s *share, rooms []*room, used []usage, empty bool) {
+	if !c.canAnswer() {
+		return
+	}
+	for _, w := range c.warm {
+		sub := w.job.sub
+		within := c.cfg.Urgent[sub.Class]
+		if c.now-w.at > warmSpan {
+			continue
+		}
+		team := c.cfg.Teams[w.job.team]
+		for _, r := range rooms {
+			mt := c.types[r.m.rec.Type]
+			if !r.usable || r.m.v.images[sub.Image] || r.fetching[sub.Image] || empty && r.tasks > 0 ||
+				mt.FetchGBPerS <= 0 || micros.FromSeconds(sub.ImageGB/mt.FetchGBPerS) < within/4 ||
+				r.cpus+eps < sub.CPUs || r.gpus+eps < sub.GPUs || r.mem+eps < sub.MemGB ||
+				!c.allowed(w.job, r.m, nil) || r.m.v.warmNext > c.now {
+				continue
+			}
+			u := &used[w.job.team]
+			if team.CPUsMax > 0 && u.cpus+sub.CPUs > team.CPUsMax+eps || team.GPUsMax > 0 && u.gpus+sub.GPUs > team.GPUsMax+eps {
+				continue
+			}
+			c.attempts++
+			key := slotKey{job: w.job.id, idx: 0, attempt: s.mark<<32 | c.attempts&0xffffffff}
+			r.m.v.slots[key] = &slot{key: key, job: w.job, m: r.m, state: slotAssigned, warm: true, since: c.now, haltAt: -micros.Never}
+			r.m.v.warmNext = c.now + 10*micros.Second
+			r.cpus -= sub.CPUs
+			r.gpus -= sub.GPUs
+			r.mem -= sub.MemGB
+			r.tasks++
+			r.fetching[sub.Image] = true
+			u.cpus += sub.CPUs
+			u.gpus += sub.GPUs
+		}
+	}
+}
+
+// warmed takes the state of a prefetching attempt.
+func (c *Core) warmed(sl *slot) {
+	if sl.state != slotExited {
+		return
+	}
+	sl.acted = true
+	if sl.why == wire.WhyDone {
+		sl.m.v.images[sl.job.sub.Image] = true
+		c.dirty = true
+	}
+}
