--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -364,8 +364,12 @@
 				d.CPUs += mt.CPUs
 				d.Busy += mt.CPUs - max(r.cpus, 0)
 			}
+			row.Busy, row.Saves = mt.CPUs-max(r.cpus, 0), true
 			for _, sl := range v.slots {
 				if sl.job != nil && sl.state != slotExited {
+					if !sl.owned || sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning {
+						row.Saves = false
+					}
 					left := c.runs.expect(sl.job.sub)
 					if sl.runAt > 0 {
 						left = max(left-(c.now-sl.runAt), left/10)
@@ -613,6 +617,7 @@
 	c.log(Debug, "fleet", "have", have, "busy", busy, "booting", booting, "work", work, "arrival", arrival, "parallel", parallel)
 	c.level(demand)
 	c.returnIdle(demand, want{work: work, arrival: arrival, parallel: parallel, have: have + booting}, count >= c.cfg.MaxMachines)
+	c.consolidate(demand, want{work: work, arrival: arrival, parallel: parallel, have: have + booting})
 	c.replaceBad(demand)
 }
 
@@ -986,6 +991,43 @@
 	}
 }
 
+// consolidate empties one machine of a share where nothing waits, if all of its
+// tasks can save and go on in the room that the share's other machines have, and
+// if they would otherwise keep a mostly unused machine for long.
+func (c *Core) consolidate(demand map[int]*peer.Demand, w want) {
+	for _, id := range shareIDs(demand) {
+		d := demand[id]
+		if waitingCPUs(d) > 0 {
+			continue
+		}
+		var best *peer.Machine
+		most := 0.0
+		for i := range d.Machines {
+			m := &d.Machines[i]
+			rec := c.mach[m.ID]
+			if rec == nil {
+				continue
+			}
+			mt := c.types[rec.rec.Type]
+			if m.State == peer.MachineGoing {
+				best = nil
+				break // one at a time
+			}
+			if m.State != peer.MachineBusy || !m.Saves || m.LeftUS < int64(30*micros.Second) || 2*m.Busy > mt.CPUs ||
+				w.have-mt.CPUs < max(w.parallel, c.reserve(w)) || d.CPUs-d.Busy-(mt.CPUs-m.Busy) < m.Busy {
+				continue
+			}
+			if gain := (mt.CPUs - m.Busy) * micros.Micros(m.LeftUS).Seconds(); gain > most {
+				best, most = m, gain
+			}
+		}
+		if best != nil && most > 200 {
+			c.log(Info, "emptying a mostly unused machine", "machine", best.ID, "share", id, "busy", best.Busy)
+			c.askRelease(peer.Release{Machine: best.ID, Retire: true, Drain: true, Save: true})
+		}
+	}
+}
+
 // reserve is how many CPUs are kept although nothing waits. Where tasks are
 // wanted started sooner than a machine boots, that is what arrives while one
 // would boot; elsewhere nothing.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -690,6 +690,9 @@
 	s := c.acting(m.rec.Share)
 	if s != nil && r.Drain && !m.v.leaving && (r.Retire || r.Share != s.id) {
 		m.v.going, m.v.goingTo = r, c.now+4*micros.Second
+		if r.Save {
+			c.saveAll(m)
+		}
 	}
 	if s == nil || !c.canAnswer() || m.v.leaving || m.v.orderBusy || m.v.unclear != 0 || !m.v.settled && !m.v.gone ||
 		len(m.v.slots) > 0 || (!r.Retire && (r.Share == s.id || m.v.gone)) {
@@ -713,6 +716,22 @@
 	return true
 }
 
+// saveAll stops a machine's tasks so that they go on elsewhere, if all of them
+// can save.
+func (c *Core) saveAll(m *machine) {
+	slots := m.v.sorted()
+	for _, sl := range slots {
+		if sl.state != slotExited && (!sl.owned || sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning && sl.state != slotSaving) {
+			return
+		}
+	}
+	for _, sl := range slots {
+		if sl.state == slotRunning {
+			c.stop(sl, haltSave)
+		}
+	}
+}
+
 // houseMachines looks at what time does to machines.
 func (c *Core) houseMachines() {
 	for _, id := range sortedKeys(c.mach) {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -322,6 +322,11 @@
 	if j.priority == wire.PriorityLow || j.run.probeAt != 0 {
 		return
 	}
+	if wait := j.run.arrival + c.patience(j) - c.now; wait > 0 {
+		c.wakeIn(wait)
+		c.dirty = true
+		return
+	}
 	need := j.pending()
 	// Room that is already being made serves the first in line.
 	for _, r := range rooms {
@@ -346,6 +351,19 @@
 	}
 }
 
+// patience is how long a job waits for room to come free by itself before
+// others are stopped for it. Tasks end all the time, and work that is stopped is
+// partly lost.
+func (c *Core) patience(j *job) micros.Micros {
+	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent {
+		if within < 10*micros.Second {
+			return 0
+		}
+		return within / 3
+	}
+	return 15 * micros.Second
+}
+
 // cheapestVictims stops the tasks whose loss costs least on the machine where
 // that is least, and gives the machine; nil if nothing may be stopped.
 func (c *Core) cheapestVictims(j *job, rooms []*room, zones map[string]int) *room {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -102,6 +102,9 @@
 	SinceUS int64  `msgpack:"t"` // for how long
 	// LeftUS is how long its tasks will probably take yet.
 	LeftUS int64 `msgpack:"l,omitempty"`
+	// Busy are the CPUs in use; Saves tells that all its tasks can save.
+	Busy  float64 `msgpack:"b,omitempty"`
+	Saves bool    `msgpack:"v,omitempty"`
 }
 
 // Ask asks the owner about a job, or to cancel it.
@@ -132,6 +135,7 @@
 	Machine string `msgpack:"m"`
 	Retire  bool   `msgpack:"r,omitempty"`
 	Drain   bool   `msgpack:"d,omitempty"`
+	Save    bool   `msgpack:"v,omitempty"` // with Drain: stop tasks that can save
 	Share   int    `msgpack:"s"`
 }
 
