--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -802,10 +802,11 @@
 	c.log(Debug, "no more machines of a kind for now", "type", k.typ, "zone", k.zone, "spot", k.spot)
 }
 
-// going is a machine on its way to another share.
+// going is a machine on its way to another share, or out.
 type going struct {
-	share int
-	until micros.Micros
+	share  int
+	retire bool
+	until  micros.Micros
 }
 
 // askRelease asks a machine's owner to let it go.
@@ -856,7 +857,12 @@
 			switch {
 			case m.State == peer.MachineGoing:
 				// On its way out already: it counts where it goes.
-				if to, ok := c.fleet.goingTo[m.ID]; ok && c.now < to.until {
+				to, ok := c.fleet.goingTo[m.ID]
+				switch {
+				case !ok || c.now >= to.until:
+				case to.retire:
+					c.askRelease(peer.Release{Machine: m.ID, Retire: true, Drain: true})
+				default:
 					leaving++
 					has[to.share] += cpus
 					lack[to.share] = max(0, lack[to.share]-cpus)
@@ -1023,6 +1029,7 @@
 		}
 		if best != nil && most > 200 {
 			c.log(Info, "emptying a mostly unused machine", "machine", best.ID, "share", id, "busy", best.Busy)
+			c.fleet.goingTo[best.ID] = going{retire: true, until: c.now + 30*micros.Second}
 			c.askRelease(peer.Release{Machine: best.ID, Retire: true, Drain: true, Save: true})
 		}
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -310,6 +310,7 @@
 		}
 		sl.state, sl.why, sl.kept = slotExited, t.Why, t.Saved
 		sl.since = c.now
+		c.log(Debug, "task exited", "task", t.Task, "machine", sl.m.id, "why", t.Why, "saved", t.Saved, "ran_s", (c.now - max(sl.runAt, c.now*b2m(sl.runAt == 0))).Seconds())
 		if sl.owned {
 			c.exited(sl)
 		}
@@ -320,6 +321,8 @@
 	}
 }
 
+func b2m(b bool) micros.Micros { return micros.Micros(b2i(b)) }
+
 // adopt ties tasks found on a machine to their jobs, or stops what should not
 // be there.
 func (c *Core) adopt(m *machine) {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -315,6 +315,7 @@
 	r.mem -= j.sub.MemGB
 	r.tasks++
 	r.fetching[j.sub.Image] = true
+	c.log(Debug, "task placed", "task", key.job, "index", idx, "machine", r.m.id, "image", r.m.v.images[j.sub.Image], "expect_s", c.runs.expect(j.sub).Seconds())
 }
 
 // makeRoom stops tasks of lower priority for a job that found no room.
