Drain freely where nothing waits and another share's queue does

Cause: one share held 152 CPUs with up to 89 free while another had 160 waiting for 60 s: its machines were all partly used, and draining was bounded for shares that are busy.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -860,6 +860,8 @@
 				to, ok := c.fleet.goingTo[m.ID]
 				switch {
 				case !ok || c.now >= to.until:
+				case !to.retire && waitingCPUs(demand[id]) > 0 && has[id] < part[id]:
+					delete(c.fleet.goingTo, m.ID) // its share needs it again
 				case to.retire:
 					c.askRelease(peer.Release{Machine: m.ID, Retire: true, Drain: true})
 				default:
@@ -876,8 +878,16 @@
 	slices.SortStableFunc(rows, func(a, b row) int {
 		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID))
 	})
+	// Where nothing waits, what is free may be drained without loss.
+	spare := map[int]float64{}
+	for id, d := range demand {
+		if waitingCPUs(d) == 0 {
+			spare[id] = (d.CPUs - d.Busy) - d.CPUs/20
+		}
+	}
 	for _, r := range rows {
 		idle := r.State == peer.MachineIdle
+		unused := r.cpus - r.Busy
 		to, most := -1, 0.5
 		for _, id := range shareIDs(demand) {
 			if id == r.from || !c.useful(demand[id], c.mach[r.ID]) {
@@ -897,10 +907,13 @@
 			continue
 		case idle && waitingCPUs(own) > 0 && c.useful(own, c.mach[r.ID]):
 			continue // its own share is about to use it
-		case !idle && (most < r.cpus/2 || has[r.from]-part[r.from] < r.cpus/2 || r.LeftUS > int64(15*micros.Second) || leaving >= 2):
+		case !idle && (most < r.cpus/2 || has[r.from]-part[r.from] < r.cpus/2):
+			continue
+		case !idle && spare[r.from] >= unused && unused > 0:
+			spare[r.from] -= unused
+		case !idle && (r.LeftUS > int64(15*micros.Second) || leaving >= 2):
 			continue // a machine that empties slowly stands half used meanwhile
-		}
-		if !idle {
+		case !idle:
 			leaving++
 		}
 		has[r.from] -= r.cpus
