Home new machines by each share's part of the fleet, guarantees first

Cause: the share with the largest guarantee sum (two teams) was short of it 11% of the time while its queue waited; homing weighed work only.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -35,8 +35,6 @@
 	hire      *hire
 	refused   map[kind]*refusal
 	homing    map[string]bool
-	homedCPUs map[int]float64 // sent to a share of late, not in its demand yet
-	homedAt   micros.Micros
 	returning map[string]bool
 	returned  map[string]micros.Micros // the cloud has confirmed it
 	asked     map[string]micros.Micros // releases asked for
@@ -80,7 +78,6 @@
 	f.rented = map[string]*rented{}
 	f.refused = map[kind]*refusal{}
 	f.homing = map[string]bool{}
-	f.homedCPUs = map[int]float64{}
 	f.returning = map[string]bool{}
 	f.returned = map[string]micros.Micros{}
 	f.asked = map[string]micros.Micros{}
@@ -271,7 +268,6 @@
 		return
 	}
 	f.homing[rep.Machine] = true
-	f.homedCPUs[s.id] += c.types[rep.Type].CPUs
 	txn := wire.Txn{
 		If:   []wire.Condition{{Key: wire.MachineKey(rep.Machine), Version: 0}, {Key: wire.KeyLeader, Version: c.own.leader.mark}},
 		Then: []wire.Change{{Put: wire.MachineKey(rep.Machine), Value: value}},
@@ -289,26 +285,31 @@
 	})
 }
 
-// homeFor chooses the share for a new machine: the one whose work would
-// otherwise take longest.
+// homeFor chooses the share for a new machine: the one that lacks most of its
+// part of the fleet.
 func (c *Core) homeFor(typ string) *share {
 	demand := c.allDemand()
-	cpus := map[int]float64{}
+	has, total := map[int]float64{}, c.types[typ].CPUs
 	for _, m := range c.mach {
 		if !m.rec.Retiring {
-			cpus[m.rec.Share] += c.types[m.rec.Type].CPUs
+			cpus := c.types[m.rec.Type].CPUs
+			has[m.rec.Share] += cpus
+			total += cpus
 		}
 	}
-	var best *share
-	bestNeed := -1.0
 	for _, s := range c.own.shares {
-		work, guarantee := 0.0, 0.0
-		if d := demand[s.id]; d != nil {
-			work, guarantee = workOf(d), d.Guarantee
+		if demand[s.id] == nil {
+			demand[s.id] = &peer.Demand{Share: s.id}
 		}
-		need := (work + 30*guarantee + 60) / (cpus[s.id] + c.types[typ].CPUs)
-		if need > bestNeed {
-			best, bestNeed = s, need
+	}
+	part := c.parts(demand, total)
+	var best *share
+	bestGap := math.Inf(-1)
+	for _, s := range c.own.shares {
+		// Where nothing waits, the share with least comes first.
+		gap := part[s.id] - has[s.id]
+		if gap > bestGap+eps {
+			best, bestGap = s, gap
 		}
 	}
 	return best
@@ -833,7 +834,11 @@
 // level moves machines to the shares whose queues wait: idle ones at once, busy
 // ones as they empty, where a share has more than its part of the fleet.
 func (c *Core) level(demand map[int]*peer.Demand) {
-	part := c.parts(demand)
+	total := 0.0
+	for _, d := range demand {
+		total += d.CPUs
+	}
+	part := c.parts(demand, total)
 	has := map[int]float64{}
 	lack := map[int]float64{}
 	for id, d := range demand {
@@ -936,12 +941,11 @@
 	return false
 }
 
-// parts says how many of the fleet's CPUs each share should have: first its
+// parts says how many of total CPUs each share should have: first its
 // guarantees, as far as it can use them, then by the work that waits.
-func (c *Core) parts(demand map[int]*peer.Demand) map[int]float64 {
-	total, part, can := 0.0, map[int]float64{}, map[int]float64{}
+func (c *Core) parts(demand map[int]*peer.Demand, total float64) map[int]float64 {
+	part, can := map[int]float64{}, map[int]float64{}
 	for id, d := range demand {
-		total += d.CPUs
 		can[id] = d.Busy + waitingCPUs(d)
 	}
 	give := func(weight func(int) float64, limit func(int) float64) {
