--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -362,7 +362,7 @@
 		}
 		return within / 3
 	}
-	return 15 * micros.Second
+	return micros.Second
 }
 
 // cheapestVictims stops the tasks whose loss costs least on the machine where
