--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,7 +123,7 @@
 func Defaults() Options {
 	return Options{
 		LeaseMS:       5000,
-		SilentReturnS: 0,
+		SilentReturnS: 14,
 		DrainHorizonS: 60,
 		IdleReturnS:   25,
 		MaxMachines:   1000,
