--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -202,6 +202,7 @@
 
 	stateq stateQueue
 	own    ownership
+	ears   ears
 	jobs   jobTable
 	fleet  fleet
 	peers  map[string]*peerView
@@ -335,6 +336,7 @@
 func (c *Core) house() {
 	c.houseOwnership()
 	c.housePeers()
+	c.houseEars()
 	c.houseMachines()
 	c.houseJobs()
 	c.houseFleet()
--- /dev/null
+++ b/internal/core/ears.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// A controller that has lost the workers, but not the state service, would hold
+// its shares for as long as that lasts while their machines' leases run out.
+// What tells it from machines that are gone is that the machines try the other
+// controllers. It then lets its duties go, and takes none on before it reaches
+// machines again.
+
+// ears is whether this node hears the workers.
+type ears struct {
+	deaf   bool
+	next   micros.Micros
+	busy   bool
+	good   int // probes answered in a row
+	lookAt int
+}
+
+func (c *Core) houseEars() {
+	e := &c.ears
+	if c.now < e.next {
+		return
+	}
+	e.next = c.now + micros.Second/2
+	if e.deaf {
+		c.probe()
+		return
+	}
+	silent, elsewhere, all := 0, 0, 0
+	for _, id := range sortedKeys(c.mach) {
+		m := c.mach[id]
+		if m.v == nil || c.acting(m.rec.Share) == nil {
+			continue
+		}
+		all++
+		if c.now-max(m.v.heard, m.v.since) <= c.silence() {
+			continue
+		}
+		silent++
+		for _, label := range c.cfg.Peers {
+			if p := c.peers[label]; c.alive(p) && !p.deaf && p.heard[id] {
+				elsewhere++
+				break
+			}
+		}
+	}
+	if silent < 2 || 2*silent <= all || 2*elsewhere <= silent {
+		return
+	}
+	c.log(Info, "workers are out of reach here but not elsewhere, letting duties go", "silent", silent, "machines", all, "elsewhere", elsewhere)
+	e.deaf, e.good = true, 0
+	for _, s := range c.own.shares {
+		if s.active && !s.handing && c.isMine(&s.role) {
+			s.handing = true
+			c.dropRole(&s.role, ownerKey(s.id), s.mark, func() bool { return s.handing })
+		}
+	}
+	if l := &c.own.leader; c.isMine(l) {
+		c.own.stepped = l.mark
+		c.dropRole(l, wire.KeyLeader, l.mark, func() bool { return c.own.stepped == l.mark })
+	}
+}
+
+// probe asks one machine after the other whether it can be reached again.
+func (c *Core) probe() {
+	e := &c.ears
+	ids := sortedKeys(c.mach)
+	if e.busy {
+		return
+	}
+	if len(ids) == 0 {
+		e.deaf = false
+		return
+	}
+	e.lookAt = (e.lookAt + 1) % len(ids)
+	e.busy = true
+	c.call(Call{To: ToWorker, Addr: c.mach[ids[e.lookAt]].rec.Addr, Req: Show{}, Timeout: micros.Second}, func(r Result) {
+		e.busy = false
+		if r.Status != 200 {
+			e.good = 0
+			return
+		}
+		if e.good++; e.good >= 3 {
+			e.deaf = false
+			c.log(Info, "workers are within reach again")
+		}
+	})
+}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -65,6 +65,7 @@
 	contact   micros.Micros // when the state service last answered anything
 	shares    []*share
 	leader    role
+	stepped   uint64 // mark of the leader key that we are letting go
 	ctl, job  watched
 	handedAt  micros.Micros
 }
@@ -101,7 +102,9 @@
 	return nil
 }
 
-func (c *Core) leading() bool { return c.isMine(&c.own.leader) && c.canAnswer() }
+func (c *Core) leading() bool {
+	return c.isMine(&c.own.leader) && c.own.leader.mark != c.own.stepped && c.canAnswer()
+}
 
 func (c *Core) houseOwnership() {
 	o := &c.own
@@ -503,15 +506,17 @@
 // is alive and holds the least.
 func (c *Core) claimDelay(id int) micros.Micros {
 	home := c.home(id)
-	if home == c.cfg.Label {
-		return 0
-	}
 	const step = 400 * micros.Millisecond
 	delay := micros.Micros(0)
+	if c.ears.deaf {
+		delay = 8 * step // anybody else, please
+	} else if home == c.cfg.Label {
+		return 0
+	}
 	if c.now < c.began+3*micros.Second {
 		delay = 2 * step // the others may be starting as well
 	}
-	if p := c.peers[home]; p != nil && c.alive(p) {
+	if p := c.peers[home]; p != nil && c.alive(p) && !p.deaf {
 		delay += step
 	}
 	holds := map[string]int{}
@@ -520,7 +525,7 @@
 	}
 	rank := 0
 	for _, label := range c.nodes() {
-		if p := c.peers[label]; p != nil && c.alive(p) {
+		if p := c.peers[label]; p != nil && c.alive(p) && !p.deaf {
 			mine, theirs := holds[c.cfg.Label], holds[label]
 			if theirs < mine || (theirs == mine && label < c.cfg.Label) {
 				rank++
@@ -569,32 +574,32 @@
 	}
 	for _, s := range c.own.shares {
 		home := c.peers[c.home(s.id)]
-		if !s.active || s.handing || home == nil || !c.alive(home) || !home.stateOK || home.uptime < settledFor ||
+		if !s.active || s.handing || home == nil || !c.alive(home) || !home.stateOK || home.deaf || home.uptime < settledFor ||
 			c.now < s.claimedAt+settledFor || !c.allSettled(s) || c.anyUnclear(s) {
 			continue
 		}
 		s.handing = true
 		c.own.handedAt = c.now
 		c.log(Info, "handing a share back", "share", s.id, "to", home.label)
-		c.dropOwner(s, s.mark)
+		c.dropRole(&s.role, ownerKey(s.id), s.mark, func() bool { return s.handing })
 		return
 	}
 }
 
-// dropOwner deletes our owner key. Once it has been sent, this node never acts
-// under that mark again: a late copy could delete the key while our lease
+// dropRole deletes our key of a role. Once it has been sent, this node never
+// acts under that mark again: a late copy could delete the key while our lease
 // lives, and a successor counts on our silence from then on.
-func (c *Core) dropOwner(s *share, mark uint64) {
-	txn := wire.Txn{If: []wire.Condition{{Key: ownerKey(s.id), Version: mark}}, Then: []wire.Change{{Delete: ownerKey(s.id)}}}
-	c.askState(prioFleet, txn, micros.Second, func(r Result) {
-		if s.mark != mark || !s.handing || r.Status == 200 {
+func (c *Core) dropRole(r *role, key string, mark uint64, still func() bool) {
+	txn := wire.Txn{If: []wire.Condition{{Key: key, Version: mark}}, Then: []wire.Change{{Delete: key}}}
+	c.askState(prioFleet, txn, micros.Second, func(res Result) {
+		if r.mark != mark || !still() || res.Status == 200 {
 			return // the watch shows the rest
 		}
-		c.dropOwner(s, mark)
+		c.dropRole(r, key, mark, still)
 	})
 }
 
-// watchOwned tells peers' claims apart from ours: a higher mark elsewhere
+// noteOwned tells peers' claims apart from ours: a higher mark elsewhere
 // silences this node for the share.
 func (c *Core) noteOwned(owned []peer.Owned) (quiet []int) {
 	for _, o := range owned {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -12,7 +12,7 @@
 	heardAt micros.Micros
 	uptime  micros.Micros
 	stateOK bool
-	leads   bool
+	deaf    bool
 	busy    bool
 	nextAt  micros.Micros
 	demand  []peer.Demand
@@ -52,6 +52,7 @@
 		Incarnation: c.own.lease,
 		UptimeUS:    int64(c.now - c.began),
 		StateOK:     c.stateFresh(),
+		Deaf:        c.ears.deaf,
 	}
 	for _, s := range c.own.shares {
 		if c.acting(s.id) != nil {
@@ -73,7 +74,7 @@
 		}
 		p.heardAt = c.now
 		p.uptime = micros.Micros(resp.Status.UptimeUS)
-		p.stateOK = resp.Status.StateOK
+		p.stateOK, p.deaf = resp.Status.StateOK, resp.Status.Deaf
 		p.heard = map[string]bool{}
 		for _, id := range resp.Status.Heard {
 			p.heard[id] = true
@@ -100,7 +101,7 @@
 	case req.Status != nil:
 		p.heardAt = c.now
 		p.uptime = micros.Micros(req.Status.UptimeUS)
-		p.stateOK = req.Status.StateOK
+		p.stateOK, p.deaf = req.Status.StateOK, req.Status.Deaf
 		if req.Status.Demand != nil || c.leading() {
 			p.demand, p.demAt = req.Status.Demand, c.now
 		}
@@ -108,6 +109,7 @@
 			Incarnation: c.own.lease,
 			UptimeUS:    int64(c.now - c.began),
 			StateOK:     c.stateFresh(),
+			Deaf:        c.ears.deaf,
 			Quiet:       c.noteOwned(req.Status.Owns),
 		}
 		for _, id := range sortedKeys(c.heard) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,6 +34,7 @@
 	Incarnation uint64   `msgpack:"i"`
 	UptimeUS    int64    `msgpack:"u"`
 	StateOK     bool     `msgpack:"k"` // the state service answered it of late
+	Deaf        bool     `msgpack:"e,omitempty"` // it does not hear the workers
 	Owns        []Owned  `msgpack:"o,omitempty"`
 	Leader      uint64   `msgpack:"l,omitempty"` // mark of the leader key, if it leads
 	Demand      []Demand `msgpack:"d,omitempty"`
@@ -45,6 +46,7 @@
 	Incarnation uint64   `msgpack:"i"`
 	UptimeUS    int64    `msgpack:"u"`
 	StateOK     bool     `msgpack:"k"`
+	Deaf        bool     `msgpack:"e,omitempty"`
 	Quiet       []int    `msgpack:"q,omitempty"`
 	Heard       []string `msgpack:"h,omitempty"` // machines that tried the answering node of late
 }
