--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/pelletier/go-toml/v2"
@@ -177,22 +178,30 @@
 		var de *toml.DecodeError
 		if errors.As(err, &de) {
 			row, _ := de.Position()
-			return s, fmt.Errorf("%s: line %d: %s: %w", name, row, joinKey(de.Key()), err)
+			return s, fmt.Errorf("%s: line %d: %s: %w", name, row, tomlField(string(text), row), err)
 		}
 		return s, fmt.Errorf("%s: %w", name, err)
 	}
 	return s, s.check(name)
 }
 
-func joinKey(key toml.Key) string {
-	if len(key) == 0 {
+// tomlField gives the full name and value of the field on a line (from 1).
+func tomlField(text string, row int) string {
+	lines := strings.Split(text, "\n")
+	if row < 1 || row > len(lines) {
 		return "syntax"
 	}
-	out := key[0]
-	for _, k := range key[1:] {
-		out += "." + k
+	table := ""
+	for _, l := range lines[:row-1] {
+		if l = strings.TrimSpace(l); strings.HasPrefix(l, "[") {
+			table = strings.Trim(l, "[] ") + "."
+		}
+	}
+	key, value, ok := strings.Cut(lines[row-1], "=")
+	if !ok {
+		return "syntax"
 	}
-	return out
+	return table + strings.TrimSpace(key) + " = " + strings.TrimSpace(value)
 }
 
 // checker gathers the first bad field.
@@ -282,11 +291,30 @@
 	return ParseOptions(path, b)
 }
 
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
+
 // ParseOptions checks the text of an operators' file.
 func ParseOptions(name string, text []byte) (Options, error) {
 	o := Defaults()
+	var fields map[string]any
+	if err := yaml.Unmarshal(text, &fields); err != nil {
+		return o, fmt.Errorf("%s: %s", name, firstLine(err))
+	}
+	if len(fields) == 0 {
+		return o, nil // empty, or comments only: decoding would clear the defaults
+	}
 	if err := yaml.Unmarshal(text, &o); err != nil {
-		return o, fmt.Errorf("%s: %s", name, yaml.FormatError(err, false, false))
+		field := ""
+		for key, value := range fields { // the field alone that does not decode
+			one, merr := yaml.Marshal(map[string]any{key: value})
+			if scratch := Defaults(); merr == nil && yaml.Unmarshal(one, &scratch) != nil {
+				field = fmt.Sprintf("%s = %v: ", key, value)
+			}
+		}
+		return o, fmt.Errorf("%s: %s%s", name, field, firstLine(err))
 	}
 	c := &checker{file: name}
 	c.want(o.LeaseMS >= 1000 && o.LeaseMS <= 600_000, "lease_ms", o.LeaseMS, "1000 to 600000")
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+const settings = `
+label = "n-0"
+site = "a"
+serve_on = "127.0.0.1:8080"
+internal_addr = "127.0.0.1:8081"
+[[seeds]]
+label = "n-1"
+site = "b"
+address = "127.0.0.2:8081"
+[endpoints]
+cloud = "127.0.0.3:1"
+state = "127.0.0.3:2"
+[cluster]
+nodes = 2
+zones = ["b", "a", "b"]
+clock_error_ms = 5.0
+[[cluster.teams]]
+name = "t"
+cpus = 1.0
+cpus_max = 2.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 45.0
+cancel_s = 70.0
+[cluster.state]
+rps = 150.0
+write_rps = 25.0
+value_kb = 8.0
+txn_ops = 8
+[cluster.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[cluster.resources]
+core_share = 0.24
+ram_mb = 451.0
+sockets = 5000
+`
+
+func TestSettings(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, want string }{
+		{name: "good"},
+		{"unknown fields", "[cluster.cloud]", "new_thing = 1\n[cluster.cloud]\nother = \"x\"", ""},
+		{"no label", `label = "n-0"`, "", "label"},
+		{"bad address", "127.0.0.1:8080", "localhost:http", `serve_on = "localhost:http"`},
+		{"a seed like us", `label = "n-1"`, `label = "n-0"`, "seeds[0].label"},
+		{"no nodes", "nodes = 2", "nodes = 0", "cluster.nodes = 0"},
+		{"more seeds than nodes", "nodes = 2", "nodes = 1", "cluster.nodes = 1"},
+		{"no teams", "[[cluster.teams]]\nname = \"t\"\ncpus = 1.0\ncpus_max = 2.0", "", "cluster.teams"},
+		{"negative limit", "cpus_max = 2.0", "cpus_max = -2.0", "cluster.teams[0].cpus_max = -2"},
+		{"no lease", "lease_s = 45.0", "lease_s = 0.0", "cluster.workers.lease_s = 0"},
+		{"endless lease", "lease_s = 45.0", "lease_s = inf", "cluster.workers.lease_s"},
+		{"wrong type", "rps = 150.0", `rps = "many"`, "cluster.state.rps"},
+		{"few sockets", "sockets = 5000", "sockets = 3", "cluster.resources.sockets = 3"},
+		{"not TOML", "[cluster]", "[cluster", "line"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			text := settings
+			if tc.old != "" {
+				text = strings.Replace(text, tc.old, tc.new, 1)
+				if text == settings {
+					t.Fatal("the case changes nothing")
+				}
+			}
+			s, err := ParseSettings("file.toml", []byte(text))
+			if tc.want == "" {
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(s.Cluster.Zones) != 2 {
+					t.Errorf("zones %v, want each once", s.Cluster.Zones)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tc.want) || !strings.Contains(err.Error(), "file.toml") || strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %q, want one line with file.toml and %s", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestOptions(t *testing.T) {
+	for _, tc := range []struct{ name, text, want string }{
+		{"empty", "", ""},
+		{"some", "lease_ms: 4000\nunknown: 1\n", ""},
+		{"short lease", "lease_ms: 10", "lease_ms = 10"},
+		{"share of memory", "memory_share: 1.5", "memory_share = 1.5"},
+		{"negative", "idle_return_s: -1", "idle_return_s = -1"},
+		{"wrong type", "max_machines: lots", "max_machines"},
+		{"not YAML", "a: [", "options.yaml"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			o, err := ParseOptions("options.yaml", []byte(tc.text))
+			if tc.want == "" {
+				if err != nil || o.DrainHorizonS != Defaults().DrainHorizonS {
+					t.Errorf("%+v, %v", o, err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tc.want) || !strings.Contains(err.Error(), "options.yaml") {
+				t.Errorf("error %v, want options.yaml and %s", err, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,473 @@
+package core
+
+import (
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+func TestPartTeams(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		teams  []Team
+		shares int
+		want   []int
+	}{
+		{"one team without a limit: jobs are parted", []Team{{Name: "a"}}, 3, nil},
+		{"one team with a limit stays whole", []Team{{Name: "a", CPUsMax: 4}}, 3, []int{0}},
+		{"by guarantee", []Team{{CPUs: 88}, {CPUs: 40}, {CPUs: 72}, {CPUs: 56}}, 3, []int{0, 2, 1, 2}},
+		{"no guarantees: by number", []Team{{}, {}, {}, {}}, 2, []int{0, 1, 0, 1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := PartTeams(tc.teams, tc.shares)
+			if len(got) != len(tc.want) || (got == nil) != (tc.want == nil) {
+				t.Fatalf("got %v, want %v", got, tc.want)
+			}
+			for i := range got {
+				if got[i] != tc.want[i] {
+					t.Errorf("got %v, want %v", got, tc.want)
+				}
+			}
+		})
+	}
+}
+
+// Answers to submissions and questions, whether or not the job is known.
+func TestUsers(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Teams = []Team{{Name: "t", CPUsMax: 3}, {Name: "u"}} })
+	change := func(f func(*wire.Submission)) wire.Submission {
+		s := jobOf("job-000001", 2)
+		f(&s)
+		return s
+	}
+	for _, tc := range []struct {
+		name string
+		job  wire.Submission
+		want int
+	}{
+		{"unknown team", change(func(s *wire.Submission) { s.Team = "x" }), 422},
+		{"larger than any machine", change(func(s *wire.Submission) { s.Team = "u"; s.CPUs = 5 }), 422},
+		{"larger than the team's limit", change(func(s *wire.Submission) { s.CPUs = 4 }), 422},
+		{"no type allowed", change(func(s *wire.Submission) { s.Types = []string{} }), 422},
+		{"unknown zone", change(func(s *wire.Submission) { s.Zone = "z" }), 422},
+		{"good", change(func(s *wire.Submission) {}), 201},
+		{"repeated", change(func(s *wire.Submission) {}), 200},
+		{"accepted, and now of an unknown team", change(func(s *wire.Submission) { s.Team = "x" }), 200},
+	} {
+		if a := h.submit(tc.job); a.Status != tc.want {
+			t.Errorf("%s: %d, want %d", tc.name, a.Status, tc.want)
+		}
+	}
+	if a := h.ask(func(r ReplyID) Input {
+		return Submit{Reply: r, Err: &wire.SubmissionError{ID: "job-000001", Reason: "x"}}
+	}); a.Status != 200 {
+		t.Errorf("malformed repeat of an accepted job: %d, want 200", a.Status)
+	}
+	if a := h.ask(func(r ReplyID) Input { return Submit{Reply: r, Err: &wire.SubmissionError{Reason: "x"}} }); a.Status != 400 {
+		t.Errorf("malformed: %d, want 400", a.Status)
+	}
+	for id, want := range map[string]int{"job-000001": 200, "job-000002": 404, "nonsense": 404} {
+		if a := h.poll(id); a.Status != want {
+			t.Errorf("question about %s: %d, want %d", id, a.Status, want)
+		}
+	}
+	h.stateDown = true
+	if a := h.submit(jobOf("job-000003", 1)); a.Status != 0 {
+		t.Errorf("told %d while the outcome is open", a.Status)
+	}
+	h.run(2 * sec) // nothing comes back, and a read can't settle it either
+	for _, c := range h.held {
+		h.step(Result{ID: c.ID})
+	}
+	h.run(2 * sec)
+	for _, c := range h.held {
+		h.step(Result{ID: c.ID})
+	}
+	if a := h.answers[h.reply]; a.Status != 503 || a.RetryAfterS < 1 {
+		t.Errorf("outcome unknown: %d, come back after %d s; want 503 and a time", a.Status, a.RetryAfterS)
+	}
+}
+
+// Which reports count, and what a worker is told.
+func TestReportOrder(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	for _, tc := range []struct {
+		name                string
+		session, seq, token uint64
+		want                int
+	}{
+		{"newer", 1, 10, token, 200},
+		{"the same again", 1, 10, token, 503},
+		{"older", 1, 9, token, 503},
+		{"token of a successor", 1, 11, token + 1000, 503},
+		{"next session", 2, 1, token, 200},
+		{"older session, larger number", 1, 99, token, 503},
+	} {
+		if status, _ := h.checkin(report("vm-1", tc.session, tc.seq, tc.token)); status != tc.want {
+			t.Errorf("%s: %d, want %d", tc.name, status, tc.want)
+		}
+	}
+}
+
+// A start in a report's answer that was dropped is known to be so by the next
+// report, and is made again with a new attempt.
+func TestStartInDroppedAnswer(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	h.submit(jobOf("job-000001", 1))
+	h.dropCalls() // the direct order never left: the start waits again
+	_, body := h.checkin(report("vm-1", 1, 10, token))
+	first := starts(body.Commands)
+	if len(first) != 1 {
+		t.Fatalf("commands %v, want a start", body.Commands)
+	}
+	_, body = h.checkin(report("vm-1", 1, 11, token))
+	again := starts(body.Commands)
+	if len(again) != 1 || again[0].Attempt <= first[0].Attempt {
+		t.Errorf("after a report without the task: %v, want a start with an attempt above %d", body.Commands, first[0].Attempt)
+	}
+	_, body = h.checkin(report("vm-1", 1, 12, token, wire.TaskReport{Task: "job-000001/0", Attempt: again[0].Attempt, State: wire.TaskRunning}))
+	if len(starts(body.Commands)) != 0 {
+		t.Errorf("started again while it runs: %v", body.Commands)
+	}
+}
+
+// An order that was not answered may act minutes later: its task starts nowhere
+// else before a raised token was seen.
+func TestUnansweredOrder(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	other := h.settle("vm-2")
+	h.submit(jobOf("job-000001", 1))
+	orders := h.orders()
+	if len(orders) != 1 {
+		t.Fatalf("%d orders, want 1", len(orders))
+	}
+	at := orders[0].Addr
+	if at == "vm-2" {
+		token, other = other, token
+	}
+	h.step(Result{ID: orders[0].ID}) // no answer
+	h.open = nil
+	elsewhere := "vm-1"
+	if at == "vm-1" {
+		elsewhere = "vm-2"
+	}
+	seq := uint64(20)
+	startedElsewhere := func() bool {
+		seq++
+		_, body := h.checkin(report(elsewhere, 1, seq, other))
+		return len(starts(body.Commands)) > 0 || len(h.orders()) > 0
+	}
+	if startedElsewhere() {
+		t.Fatal("started elsewhere while the order may still act")
+	}
+	h.run(3 * sec) // the token is raised by rewriting the record
+	status, body := h.checkin(report(at, 1, 30, token))
+	if status != 200 || body.Token <= token {
+		t.Fatalf("answered %d with token %d, want one above %d", status, body.Token, token)
+	}
+	if startedElsewhere() {
+		t.Fatal("started elsewhere before the raised token was seen")
+	}
+	_, seen := h.checkin(report(at, 1, 31, body.Token))
+	if len(starts(seen.Commands)) == 0 && !startedElsewhere() {
+		t.Error("not started again after the raised token was seen")
+	}
+}
+
+// A task on a silent machine restarts once that machine's lease must be over,
+// and not before.
+func TestSilentMachine(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	h.submit(jobOf("job-000001", 1))
+	h.dropCalls()
+	_, body := h.checkin(report("vm-1", 1, 10, token))
+	a := starts(body.Commands)[0].Attempt
+	h.checkin(report("vm-1", 1, 11, token, wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskRunning}))
+	last := h.now
+	other := h.settle("vm-2")
+	h.c.fleet.planNext = micros.Never // keep the idle machine
+	for seq := uint64(20); h.now < last+14*sec; seq++ {
+		h.run(sec / 2)
+		_, body := h.checkin(report("vm-2", 1, seq, other))
+		early := h.now < last+10*sec
+		if started := len(starts(body.Commands)) > 0 || len(h.orders()) > 0; started {
+			if early {
+				t.Fatalf("started elsewhere %v s after the last answer", (h.now - last).Seconds())
+			}
+			return
+		}
+	}
+	t.Error("never started elsewhere")
+}
+
+// A cancellation stops what a start still under way brings up.
+func TestCancelDuringStart(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	h.submit(jobOf("job-000001", 2))
+	h.dropCalls()
+	_, body := h.checkin(report("vm-1", 1, 10, token))
+	cmds := starts(body.Commands)
+	if len(cmds) != 2 {
+		t.Fatalf("%d starts, want 2", len(cmds))
+	}
+	if a := h.ask(func(r ReplyID) Input { return Withdraw{Reply: r, ID: "job-000001"} }); a.Status != 200 {
+		t.Fatalf("withdrawal answered %d", a.Status)
+	}
+	h.open = nil
+	_, body = h.checkin(report("vm-1", 1, 11, token,
+		wire.TaskReport{Task: "job-000001/0", Attempt: cmds[0].Attempt, State: wire.TaskFetching},
+		wire.TaskReport{Task: "job-000001/1", Attempt: cmds[1].Attempt, State: wire.TaskRunning}))
+	halts := 0
+	for _, c := range body.Commands {
+		if c.Op == wire.OpStop && c.GraceS != nil && *c.GraceS == 0 {
+			halts++
+		}
+		if c.Op == wire.OpStart {
+			t.Errorf("a cancelled job's task is started: %v", c)
+		}
+	}
+	if halts != 2 {
+		t.Errorf("%d halts without grace, want 2: %v", halts, body.Commands)
+	}
+	if s := h.state("job-000001"); s != wire.StateCancelled {
+		t.Errorf("called %q, want cancelled", s)
+	}
+}
+
+// A limit counts what may be on machines that were not heard of yet.
+func TestLimitCountsUnsettled(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		unsettled bool
+		want      int
+	}{
+		{"all machines settled", false, 4},
+		{"one may hold four CPUs' worth", true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Teams = []Team{{Name: "t", CPUsMax: 4}, {Name: "u"}}; c.Shares = 1 })
+			token := h.settle("vm-1")
+			if tc.unsettled {
+				h.put(wire.MachineKey("vm-9"), wire.MachineRecord{Share: 0, Addr: "vm-9", Type: "m", Zone: "a"})
+			}
+			h.submit(jobOf("job-000001", 6))
+			h.dropCalls()
+			_, body := h.checkin(report("vm-1", 1, 10, token))
+			if n := len(starts(body.Commands)); n != tc.want {
+				t.Errorf("%d tasks started, want %d", n, tc.want)
+			}
+		})
+	}
+}
+
+// Jobs that a former owner may have started wait until every machine of the
+// share is settled; jobs accepted after the claim need not.
+func TestTakeover(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"}; c.Shares = 1 })
+	// n-1 held the share; its job and machine stand on record.
+	old := jobOf("job-000001", 1)
+	h.put(wire.MachineKey("vm-1"), wire.MachineRecord{Share: 0, Addr: "vm-1", Type: "m", Zone: "a"})
+	h.put(wire.MachineKey("vm-2"), wire.MachineRecord{Share: 0, Addr: "vm-2", Type: "m", Zone: "a"})
+	h.put(wire.JobKey("job-000001"), wire.JobRecord{Submission: &old, State: wire.StatePending, Tasks: 1})
+	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
+	h.run(3 * sec)
+	s := h.c.own.shares[0]
+	if !s.active {
+		t.Fatal("the share was not taken over")
+	}
+	h.dropCalls()
+	token := h.c.token(s, h.c.mach["vm-1"])
+	_, body := h.checkin(report("vm-1", 1, 5, token))
+	if n := len(starts(body.Commands)); n != 0 {
+		t.Fatalf("%d old tasks started while vm-2 may hold them", n)
+	}
+	h.submit(jobOf("job-000002", 1))
+	h.dropCalls()
+	_, body = h.checkin(report("vm-1", 1, 6, token))
+	if got := starts(body.Commands); len(got) != 1 || got[0].Task != "job-000002/0" {
+		t.Errorf("starts %v, want the new job's only", got)
+	}
+	new := starts(body.Commands)[0]
+	// vm-2 shows the old task: it is adopted, not started again.
+	_, body = h.checkin(report("vm-2", 1, 5, token, wire.TaskReport{Task: "job-000001/0", Attempt: 7, State: wire.TaskRunning}))
+	for _, c := range body.Commands {
+		t.Errorf("unexpected command %v", c)
+	}
+	_, body = h.checkin(report("vm-1", 1, 7, token, wire.TaskReport{Task: new.Task, Attempt: new.Attempt, State: wire.TaskRunning}))
+	if n := len(starts(body.Commands)); n != 0 {
+		t.Errorf("the old task was started again")
+	}
+	if s := h.state("job-000001"); s != wire.StateRunning {
+		t.Errorf("the old job is called %q, want running", s)
+	}
+}
+
+// A job that becomes known only after its machines settled is tied to its
+// running tasks before anything is placed: ran_twice on a day when a node
+// came back from a cut with an old view (Inkingi troubles, seed 182635972162).
+func TestLateJobIsAdopted(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	other := h.settle("vm-2")
+	h.checkin(report("vm-1", 1, 10, token, wire.TaskReport{Task: "job-000001/0", Attempt: 7, State: wire.TaskRunning}))
+	sub := jobOf("job-000001", 1)
+	// As if accepted before our claim: its record has a lower mark.
+	h.c.learnJob("job-000001", wire.JobRecord{Submission: &sub, State: wire.StatePending, Tasks: 1}, 1)
+	h.c.dirty = true
+	h.run(sec)
+	_, body := h.checkin(report("vm-2", 1, 10, other))
+	if len(starts(body.Commands)) != 0 || len(h.orders()) != 0 {
+		t.Errorf("started again: %v %v", body.Commands, h.orders())
+	}
+}
+
+// An end whose transaction was not answered is settled by a read; until then
+// nothing is told from memory.
+func TestUnansweredEnd(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	h.submit(jobOf("job-000001", 1))
+	h.dropCalls()
+	_, body := h.checkin(report("vm-1", 1, 10, token))
+	a := starts(body.Commands)[0].Attempt
+	h.lose = wire.JobKey("job-000001")
+	h.checkin(report("vm-1", 1, 11, token, wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskExited, Why: wire.WhyDone}))
+	// Applied, not answered: the store says done, and so must every answer.
+	if s := h.state("job-000001"); s != wire.StateDone {
+		t.Errorf("called %q while its end stands on record", s)
+	}
+}
+
+// Versions cover the done tasks as ranges, within the size of a value.
+func TestVersion(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		tasks  int
+		done   func(i int) bool
+		ranges []int
+		count  int
+	}{
+		{"none", 10, func(int) bool { return false }, nil, 0},
+		{"all", 10, func(int) bool { return true }, []int{0, 9}, 10},
+		{"a hole", 6, func(i int) bool { return i != 3 }, []int{0, 2, 4, 5}, 5},
+		{"last only", 100_000, func(i int) bool { return i == 99_999 }, []int{99_999, 99_999}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(Config{Shares: 1, Teams: []Team{{Name: "t"}}, ValueBytes: 8 << 10, StateRPS: 1, WriteRPS: 1, CloudRPS: 1}, 1)
+			sub := jobOf("job-000001", tc.tasks)
+			j := &job{id: sub.ID, sub: &sub, run: &run{done: newBitset(tc.tasks)}}
+			for i := range tc.tasks {
+				if tc.done(i) {
+					j.run.done.set(i)
+				}
+			}
+			rec, _ := c.version(j)
+			if rec.Count != tc.count || len(rec.Ranges) != len(tc.ranges) {
+				t.Fatalf("%d done in %v, want %d in %v", rec.Count, rec.Ranges, tc.count, tc.ranges)
+			}
+			for i := range rec.Ranges {
+				if rec.Ranges[i] != tc.ranges[i] {
+					t.Errorf("ranges %v, want %v", rec.Ranges, tc.ranges)
+				}
+			}
+		})
+	}
+	c := New(Config{Shares: 1, Teams: []Team{{Name: "t"}}, ValueBytes: 8 << 10, StateRPS: 1, WriteRPS: 1, CloudRPS: 1}, 1)
+	sub := jobOf("job-000001", wire.MaxTasks)
+	j := &job{id: sub.ID, sub: &sub, run: &run{done: newBitset(wire.MaxTasks)}}
+	for i := 0; i < wire.MaxTasks; i += 2 {
+		j.run.done.set(i)
+	}
+	for range maxSteps {
+		j.run.steps = append(j.run.steps, wire.Step{Task: 99_999, Machine: "vm-000000000", StartMS: 1 << 41, EndMS: 1 << 41})
+	}
+	rec, covered := c.version(j)
+	value, err := wire.Encode(rec)
+	if err != nil || len(value) > 8<<10 || rec.Count == 0 {
+		t.Errorf("the worst Version has %d bytes for %d tasks, %v", len(value), rec.Count, err)
+	}
+	for i := 0; i < wire.MaxTasks; i++ {
+		if covered.has(i) && !j.run.done.has(i) {
+			t.Fatalf("task %d is covered and not done", i)
+		}
+	}
+}
+
+// A sick machine is told from a bad job.
+func TestFailures(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		failures [][2]string // job, machine
+		sick     []string
+		slowed   []string
+	}{
+		{"one failure", [][2]string{{"job-000001", "vm-1"}}, nil, nil},
+		{"two jobs fail on one machine", [][2]string{{"job-000001", "vm-1"}, {"job-000002", "vm-1"}}, []string{"vm-1"}, nil},
+		{"one job fails on three machines", [][2]string{{"job-000001", "vm-1"}, {"job-000001", "vm-2"}, {"job-000001", "vm-3"}}, nil, []string{"job-000001"}},
+		{"one job fails again and again on one machine", [][2]string{{"job-000001", "vm-1"}, {"job-000001", "vm-1"}, {"job-000001", "vm-1"}}, []string{"vm-1"}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			for _, id := range []string{"vm-1", "vm-2", "vm-3"} {
+				h.settle(id)
+			}
+			for _, id := range []string{"job-000001", "job-000002"} {
+				h.submit(jobOf(id, 5))
+			}
+			for _, f := range tc.failures {
+				j, m := h.c.jobs.open[f[0]], h.c.mach[f[1]]
+				h.c.noteFailure(&slot{job: j, m: m, idx: 0})
+			}
+			for _, id := range []string{"vm-1", "vm-2", "vm-3"} {
+				want := false
+				for _, s := range tc.sick {
+					want = want || s == id
+				}
+				if v := h.c.mach[id].v; v.sick != want || (v.asideUntil > h.c.now) != want {
+					t.Errorf("%s set aside: %v, want %v", id, v.sick, want)
+				}
+			}
+			for _, id := range []string{"job-000001", "job-000002"} {
+				want := false
+				for _, s := range tc.slowed {
+					want = want || s == id
+				}
+				if got := h.c.jobs.open[id].run.probeAt > 0; got != want {
+					t.Errorf("%s throttled: %v, want %v", id, got, want)
+				}
+			}
+		})
+	}
+}
+
+// An owner that has lost the state service stops speaking from memory at the
+// end of its lease, and commanding at the end of the extra time.
+func TestLosingTheStateService(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	h.submit(jobOf("job-000001", 1))
+	h.stateDown = true
+	last := h.c.own.renewed
+	seq := uint64(10)
+	for h.now < last+h.c.bounds.Command+2*sec {
+		h.run(sec / 2)
+		seq++
+		status, _ := h.checkin(report("vm-1", 1, seq, token))
+		if want := h.now < last+h.c.bounds.Command; (status == 200) != want {
+			t.Fatalf("%v s after the last renewal a report got %d", (h.now - last).Seconds(), status)
+		}
+		a := h.poll("job-000001")
+		if want := h.now < last+h.c.bounds.Answer; (a.Status == 200) != want {
+			t.Fatalf("%v s after the last renewal a question got %d", (h.now - last).Seconds(), a.Status)
+		}
+	}
+	if h.c.bounds.Command <= h.c.bounds.Answer+micros.Second {
+		t.Error("the case has no extra time to look at")
+	}
+}
--- /dev/null
+++ b/internal/core/harness_test.go
@@ -0,0 +1,273 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+const (
+	ms  = micros.Millisecond
+	sec = micros.Second
+)
+
+// harness drives one core by hand: a store that answers at once, a cloud with
+// one type, peers that say they are quiet. Workers are the test's own: calls to
+// them stay open until the test answers.
+type harness struct {
+	t       *testing.T
+	c       *Core
+	now     micros.Micros
+	rev     uint64
+	keys    map[string]wire.KeyValue
+	log     []wire.Event
+	watches []Call
+	open    []Call // to workers
+	answers map[ReplyID]Answer
+	reply   ReplyID
+	// stateDown and peersDown leave calls without an answer.
+	stateDown, peersDown bool
+	// lose swallows the answers of transactions that touch a key.
+	lose string
+	held []Call
+}
+
+func newHarness(t *testing.T, change func(*Config)) *harness {
+	cfg := Config{
+		Label: "n-0", Shares: 1, Teams: []Team{{Name: "t"}}, Zones: []string{"a", "b"},
+		Lease: 4 * sec, ReportEvery: 2 * sec, WorkerLease: 10 * sec, Cancel: 20 * sec,
+		StateRPS: 1000, WriteRPS: 1000, ValueBytes: 8 << 10, TxnOps: 8, CloudRPS: 100, ListLag: sec,
+		DrainHorizon: 30 * sec, IdleReturn: micros.Minute, Quarantine: 30 * sec, MaxMachines: 10,
+		Urgent: map[string]micros.Micros{}, Finished: map[string]micros.Micros{},
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	h := &harness{t: t, c: New(cfg, 1), now: sec, keys: map[string]wire.KeyValue{}, answers: map[ReplyID]Answer{}}
+	h.run(sec)
+	return h
+}
+
+// run lets time pass.
+func (h *harness) run(d micros.Micros) {
+	for end := h.now + d; h.now < end; {
+		h.now += 20 * ms
+		h.step(Tick{})
+	}
+}
+
+func (h *harness) step(in Input) {
+	for _, e := range h.c.Step(Instant{Steady: h.now, Wall: h.now}, in) {
+		switch e := e.(type) {
+		case Answer:
+			h.answers[e.Reply] = e
+		case Call:
+			h.call(e)
+		}
+	}
+	for i := 0; i < len(h.watches); i++ {
+		w := h.watches[i]
+		req := w.Req.(Watch)
+		var events []wire.Event
+		for _, ev := range h.log {
+			if ev.Version > req.Since && (strings.HasPrefix(ev.Put, req.Prefix) || ev.Delete != "" && strings.HasPrefix(ev.Delete, req.Prefix)) {
+				events = append(events, ev)
+			}
+		}
+		if (len(events) > 0 || req.WaitMS == 0) && !h.stateDown {
+			h.watches = slices.Delete(h.watches, i, i+1)
+			h.step(Result{ID: w.ID, Status: 200, Body: &wire.Events{Revision: h.rev, Events: events}})
+			return
+		}
+	}
+}
+
+func (h *harness) call(c Call) {
+	result := func(status int, body any) { h.step(Result{ID: c.ID, Status: status, Body: body}) }
+	switch c.To {
+	case ToWorker:
+		h.open = append(h.open, c)
+		return
+	case ToPeer:
+		if h.peersDown {
+			return
+		}
+		resp := &peer.Response{From: c.Addr}
+		if req := c.Req.(peer.Request); req.Status != nil {
+			resp.Status = &peer.StatusAck{StateOK: true}
+			for _, o := range req.Status.Owns {
+				resp.Status.Quiet = append(resp.Status.Quiet, o.Share)
+			}
+		}
+		result(200, resp)
+		return
+	case ToCloud:
+		switch c.Req.(type) {
+		case GetTypes:
+			result(200, &wire.MachineTypes{Types: []wire.MachineType{{Name: "m", CPUs: 4, MemGB: 8, FetchGBPerS: 1, Price: 1, SpotPrice: 0.5, BootS: 5, Zones: []string{"a", "b"}}}})
+		case ListMachines:
+			result(200, &wire.MachineList{})
+		default:
+			result(503, NoCapacity("no capacity"))
+		}
+		return
+	}
+	if _, isWatch := c.Req.(Watch); isWatch {
+		h.watches = append(h.watches, c)
+		return
+	}
+	if h.stateDown {
+		h.held = append(h.held, c)
+		return
+	}
+	switch r := c.Req.(type) {
+	case wire.NewLease:
+		h.rev++
+		result(200, &wire.Lease{Lease: h.rev})
+	case RenewLease:
+		result(200, nil)
+	case GetKey:
+		if kv, ok := h.keys[r.Key]; ok {
+			result(200, &kv)
+		} else {
+			result(404, nil)
+		}
+	case ListKeys:
+		list := &wire.KeyList{Revision: h.rev}
+		for _, k := range sortedKeys(h.keys) {
+			if strings.HasPrefix(k, r.Prefix) && k > r.After {
+				list.Items = append(list.Items, h.keys[k])
+			}
+		}
+		result(200, list)
+	case wire.Txn:
+		status, body := h.txn(r)
+		if h.lose != "" && slices.ContainsFunc(r.Then, func(c wire.Change) bool { return strings.HasPrefix(c.Put+c.Delete, h.lose) }) {
+			return // applied, but the answer is lost
+		}
+		result(status, body)
+	}
+}
+
+func (h *harness) txn(t wire.Txn) (int, any) {
+	for _, c := range t.If {
+		if h.keys[c.Key].Version != c.Version {
+			return 409, &wire.Revision{Revision: h.rev, Failed: []string{c.Key}}
+		}
+	}
+	h.rev++
+	for _, c := range t.Then {
+		if c.Put != "" {
+			h.keys[c.Put] = wire.KeyValue{Key: c.Put, Value: c.Value, Version: h.rev}
+			h.log = append(h.log, wire.Event{Put: c.Put, Value: c.Value, Version: h.rev})
+		} else {
+			delete(h.keys, c.Delete)
+			h.log = append(h.log, wire.Event{Delete: c.Delete, Version: h.rev})
+		}
+	}
+	return 200, &wire.Revision{Revision: h.rev}
+}
+
+// put stores a record as another node would.
+func (h *harness) put(key string, rec any) uint64 {
+	value, err := wire.Encode(rec)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.txn(wire.Txn{Then: []wire.Change{{Put: key, Value: value}}})
+	h.run(200 * ms)
+	return h.rev
+}
+
+// ask sends a request and gives the answer's status; 0 if there is none yet.
+func (h *harness) ask(make func(ReplyID) Input) Answer {
+	h.reply++
+	h.step(make(h.reply))
+	return h.answers[h.reply]
+}
+
+func (h *harness) submit(s wire.Submission) Answer {
+	a := h.ask(func(r ReplyID) Input { return Submit{Reply: r, Job: s} })
+	if a.Status == 201 {
+		h.run(60 * ms) // placing has its pace
+	}
+	return a
+}
+
+func (h *harness) poll(id string) Answer {
+	return h.ask(func(r ReplyID) Input { return Poll{Reply: r, ID: id} })
+}
+
+// jobOf is a plain submission.
+func jobOf(id string, tasks int) wire.Submission {
+	return wire.Submission{ID: id, Class: "c", Team: "t", Kind: "sweep", Priority: "standard", Tasks: tasks, CPUs: 1, MemGB: 1, Image: "i", ImageGB: 1, Spot: true, EstimateS: 10}
+}
+
+// report builds a worker's report.
+func report(id string, session, seq, token uint64, tasks ...wire.TaskReport) wire.Report {
+	return wire.Report{Machine: id, Addr: id, Type: "m", Zone: "a", Session: session, Seq: seq, Token: token, Tasks: tasks}
+}
+
+// checkin sends a report; the commands are nil unless the status is 200.
+func (h *harness) checkin(r wire.Report) (int, wire.ReportAnswer) {
+	a := h.ask(func(id ReplyID) Input { return Checkin{Reply: id, Report: r} })
+	body, _ := a.Body.(wire.ReportAnswer)
+	return a.Status, body
+}
+
+// settle brings a machine into the fleet: its first report shows the token, the
+// second one carries it.
+func (h *harness) settle(id string) uint64 {
+	h.checkin(report(id, 1, 1, 0))
+	h.run(200 * ms)
+	status, body := h.checkin(report(id, 1, 2, 0))
+	if status != 200 || body.Token == 0 {
+		h.t.Fatalf("report of %s answered %d with token %d", id, status, body.Token)
+	}
+	h.dropCalls()
+	if status, _ = h.checkin(report(id, 1, 3, body.Token)); status != 200 {
+		h.t.Fatalf("second report of %s answered %d", id, status)
+	}
+	return body.Token
+}
+
+// dropCalls ends all open calls to workers unanswered and unsent.
+func (h *harness) dropCalls() {
+	open := h.open
+	h.open = nil
+	for _, c := range open {
+		h.step(Result{ID: c.ID, NotSent: true})
+	}
+}
+
+// orders gives the open direct orders that hold starts.
+func (h *harness) orders() []Call {
+	var out []Call
+	for _, c := range h.open {
+		if o, ok := c.Req.(wire.Orders); ok && len(o.Commands) > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (h *harness) state(id string) string {
+	a := h.poll(id)
+	if b, ok := a.Body.(wire.JobAnswer); ok {
+		return b.State
+	}
+	return ""
+}
+
+func starts(cmds []wire.Command) (out []wire.Command) {
+	for _, c := range cmds {
+		if c.Op == wire.OpStart {
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,7 +33,7 @@
 type Status struct {
 	Incarnation uint64   `msgpack:"i"`
 	UptimeUS    int64    `msgpack:"u"`
-	StateOK     bool     `msgpack:"k"` // the state service answered it of late
+	StateOK     bool     `msgpack:"k"`           // the state service answered it of late
 	Deaf        bool     `msgpack:"e,omitempty"` // it does not hear the workers
 	Owns        []Owned  `msgpack:"o,omitempty"`
 	Leader      uint64   `msgpack:"l,omitempty"` // mark of the leader key, if it leads
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -55,7 +55,10 @@
 	Now      func() time.Time
 }
 
-const maxHead = 8 << 10
+const (
+	maxHead  = 8 << 10
+	maxDrain = 1 << 20
+)
 
 // Server is the running state.
 type Server struct {
@@ -75,6 +78,8 @@
 	waiting  bool // a request is with the handler
 	inData   bool // the serving goroutine is in Data and will pick up out
 	closing  bool // close once out is written
+	draining int  // bytes dropped since a request was refused for its size
+	refused  bool
 	closed   bool
 	started  time.Time // when the first byte of an incomplete request came
 	lastUsed time.Time
@@ -172,6 +177,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := s.cfg.Now()
+	if c.refused {
+		// Closing at once would reset the connection before the answer is read.
+		if c.draining += len(in); c.draining > maxDrain {
+			c.closing = true
+		}
+		return c.take()
+	}
 	if len(in) > 0 {
 		c.lastUsed = now
 		if len(c.in) == 0 {
@@ -187,7 +199,7 @@
 		c.in = append(c.in, in...)
 	}
 	c.inData = true
-	for !c.waiting && !c.closing && len(c.in) > 0 {
+	for !c.waiting && !c.closing && !c.refused && len(c.in) > 0 {
 		if !s.next(c, now) {
 			break
 		}
@@ -221,7 +233,10 @@
 			status = 431
 		}
 		c.out = http1.AppendResponse(c.out, status, "", nil, 0, true)
-		c.closing = true
+		c.refused = status == 413
+		c.closing = !c.refused
+		s.held.Add(-int64(len(c.in)))
+		c.in, c.started = nil, now
 		return false
 	}
 	s.held.Add(-int64(n))
@@ -267,7 +282,8 @@
 		c.mu.Lock()
 		half := len(c.in) > 0 && !c.waiting && now.Sub(c.started) > s.cfg.Half
 		idle := !c.waiting && now.Sub(c.lastUsed) > s.cfg.Idle
-		if half || idle {
+		drained := c.refused && now.Sub(c.started) > 2*time.Second
+		if half || idle || drained {
 			c.closing = true
 			c.ev.Wake()
 		}
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,149 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// freeAddr finds a loopback address to listen on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// serve runs a server until the test ends. "/later" is answered from another
+// goroutine, everything else at once with the body it came with.
+func serve(t *testing.T, maxConns int) string {
+	addr := freeAddr(t)
+	s := New(Config{
+		Addrs: []string{addr}, MaxConns: maxConns, MaxBody: 1000, MaxHeld: 10_000,
+		Half: time.Hour, Idle: time.Hour, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now,
+		Handler: func(r Request) {
+			answer := func() { r.Reply().Send(Answer{Status: 200, Body: append([]byte(r.Msg.Path+" "), r.Msg.Body...)}) }
+			if r.Msg.Path == "/later" {
+				go answer()
+				return
+			}
+			answer()
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return addr
+}
+
+// dial connects as soon as the server listens.
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	for {
+		c, err := net.Dial("tcp4", addr)
+		if err == nil {
+			t.Cleanup(func() { c.Close() })
+			return c
+		}
+		if t.Context().Err() != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestServing(t *testing.T) {
+	addr := serve(t, 100)
+	for _, tc := range []struct {
+		name  string
+		parts []string // written one after the other
+		want  []int    // statuses
+		body  string   // of the last
+		close bool
+	}{
+		{"one", []string{"GET /a HTTP/1.1\r\n\r\n"}, []int{200}, "/a ", false},
+		{"in pieces", []string{"POST /a HT", "TP/1.1\r\nContent-Le", "ngth: 3\r\n\r\nx", "yz"}, []int{200}, "/a xyz", false},
+		{"answered later", []string{"GET /later HTTP/1.1\r\n\r\n"}, []int{200}, "/later ", false},
+		{"two on one connection", []string{"GET /a HTTP/1.1\r\n\r\n", "GET /later HTTP/1.1\r\n\r\n"}, []int{200, 200}, "/later ", false},
+		{"asked to close", []string{"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n"}, []int{200}, "/a ", true},
+		{"broken", []string{"HELLO\r\n\r\n"}, []int{400}, "", true},
+		{"large body", []string{"POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n"}, []int{413}, "", true},
+		{"large head", []string{"GET /" + strings.Repeat("x", 9000) + " HTTP/1.1\r\n\r\n"}, []int{431}, "", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := dial(t, addr)
+			in := bufio.NewReader(c)
+			body := ""
+			for i, part := range tc.parts {
+				if _, err := io.WriteString(c, part); err != nil {
+					t.Fatal(err)
+				}
+				if len(tc.want) > 1 || i == len(tc.parts)-1 {
+					resp, err := http.ReadResponse(in, nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					b, err := io.ReadAll(resp.Body)
+					if err != nil {
+						t.Fatal(err)
+					}
+					body = string(b)
+					if want := tc.want[min(i, len(tc.want)-1)]; resp.StatusCode != want {
+						t.Errorf("status %d, want %d", resp.StatusCode, want)
+					}
+				}
+			}
+			if body != tc.body {
+				t.Errorf("body %q, want %q", body, tc.body)
+			}
+			if tc.close {
+				if _, err := in.ReadByte(); err != io.EOF {
+					t.Errorf("the connection stays open: %v", err)
+				}
+			}
+		})
+	}
+}
+
+// Half a request that grows beyond the bound ends the connection, and so does
+// a connection beyond the bound on their number; others are served on.
+func TestBounds(t *testing.T) {
+	addr := serve(t, 2)
+	first, second := dial(t, addr), dial(t, addr)
+	for _, c := range []net.Conn{first, second} {
+		if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	third := dial(t, addr)
+	if _, err := third.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection beyond the bound is served")
+	}
+	_, _ = io.WriteString(second, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\na\r\n", 5000))
+	if _, err := io.ReadAll(second); err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("reading after an endless request: %v", err)
+	}
+	if _, err := io.WriteString(first, "GET /b HTTP/1.1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || resp.StatusCode != 200 {
+		t.Errorf("the other connection: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,146 @@
+package wire
+
+import (
+	"math"
+	"testing"
+)
+
+// good is a submission as a user writes it.
+func good() map[string]any {
+	return map[string]any{
+		"nameId": "job-000412", "herd": "train", "crew": "vision", "gait": "sweep", "rank": "high", "loads": 16,
+		"cpus": 8.0, "gpus": 1.0, "memGb": 64.0, "tack": "img-07", "sizeGb": 6.2, "breeds": []string{"g8"}, "paddock": nil,
+		"oneZone": true, "apart": false, "strays": true, "haulS": 240.0, "restS": 30.0, "stowS": 4.0, "dueS": 900.0,
+	}
+}
+
+func TestParseSubmission(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		field string
+		value any // missing if it is the field's own name
+		ok    bool
+		id    string // that the error still names
+	}{
+		{name: "as it is", ok: true},
+		{"unknown field", "colour", "red", true, ""},
+		{"any type", "breeds", nil, true, ""},
+		{"types left out", "breeds", "breeds", true, ""},
+		{"no type at all", "breeds", []string{}, true, ""},
+		{"no deadline", "dueS", nil, true, ""},
+		{"a zone", "paddock", "a", true, ""},
+		{"no CPUs is an amount", "cpus", 0.0, true, ""},
+		{"whole number as an amount", "cpus", 8, true, ""},
+		{"most tasks", "loads", 100_000, true, ""},
+		{"too many tasks", "loads", 100_001, false, "job-000412"},
+		{"no tasks", "loads", 0, false, "job-000412"},
+		{"negative tasks", "loads", -1, false, "job-000412"},
+		{"tasks as text", "loads", "16", false, "job-000412"},
+		{"fewer CPUs than none", "cpus", -1.0, false, "job-000412"},
+		{"endless memory", "memGb", math.Inf(1), false, "job-000412"},
+		{"time that is no number", "haulS", math.NaN(), false, "job-000412"},
+		{"negative deadline", "dueS", -1.0, false, "job-000412"},
+		{"unknown kind", "gait", "trot", false, "job-000412"},
+		{"unknown priority", "rank", "king", false, "job-000412"},
+		{"no team", "crew", "crew", false, "job-000412"},
+		{"null team", "crew", nil, false, "job-000412"},
+		{"empty image", "tack", "", false, "job-000412"},
+		{"flag as a number", "strays", 1, false, "job-000412"},
+		{"types as text", "breeds", "g8", false, "job-000412"},
+		{"binary team", "crew", []byte("vision"), false, "job-000412"},
+		{"id without digits", "nameId", "job-", false, ""},
+		{"short id", "nameId", "job-12", false, ""},
+		{"another form of id", "nameId", "task-000412", false, ""},
+		{"id with a path", "nameId", "job-000412/3", false, ""},
+		{"id as a number", "nameId", 412, false, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := good()
+			if tc.value == any(tc.field) && tc.field != "" {
+				delete(m, tc.field)
+			} else if tc.field != "" {
+				m[tc.field] = tc.value
+			}
+			body, err := Encode(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, serr := ParseSubmission(body)
+			if (serr == nil) != tc.ok {
+				t.Fatalf("error %v", serr)
+			}
+			if serr != nil && serr.ID != tc.id {
+				t.Errorf("the error names %q, want %q", serr.ID, tc.id)
+			}
+			if serr == nil && (s.ID != "job-000412" || s.Tasks < 1 || s.Image != "img-07") {
+				t.Errorf("read as %+v", s)
+			}
+		})
+	}
+	for name, body := range map[string][]byte{
+		"nothing": nil, "not CBOR": []byte("{\"a\":1}"), "a list": {0x80}, "null": {0xf6}, "half a map": {0xa2, 0x61, 'a'}, "a number": {0x01},
+	} {
+		if _, serr := ParseSubmission(body); serr == nil {
+			t.Errorf("%s is taken for a submission", name)
+		}
+	}
+}
+
+func TestParseTask(t *testing.T) {
+	for _, tc := range []struct {
+		in  string
+		job string
+		idx int
+		ok  bool
+	}{
+		{"job-000412/3", "job-000412", 3, true},
+		{"job-000412/99999", "job-000412", 99999, true},
+		{"job-000412/100000", "", 0, false},
+		{"job-000412/03", "", 0, false},
+		{"job-000412/-1", "", 0, false},
+		{"job-000412/", "", 0, false},
+		{"job-000412", "", 0, false},
+		{"job-1/2", "", 0, false},
+	} {
+		job, idx, err := ParseTask(tc.in)
+		if (err == nil) != tc.ok || job != tc.job || idx != tc.idx {
+			t.Errorf("%q is read as %q, %d, %v", tc.in, job, idx, err)
+		}
+	}
+}
+
+func TestParseReport(t *testing.T) {
+	task := func(name, state string) map[string]any {
+		return map[string]any{"load": name, "mount": 2, "stance": state}
+	}
+	for _, tc := range []struct {
+		name  string
+		field string
+		value any
+		ok    bool
+	}{
+		{"as it is", "", nil, true},
+		{"a notice", "warningS", 4.5, true},
+		{"no machine", "post", "", false},
+		{"machine with a space", "post", "a b", false},
+		{"no session", "tether", 0, false},
+		{"negative token", "rein", -1, false},
+		{"odd task", "loads", []any{task("x", "running")}, false},
+		{"odd state", "loads", []any{task("job-000001/0", "dancing")}, false},
+		{"a task", "loads", []any{task("job-000001/0", "running")}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m := map[string]any{"post": "vm-1", "address": "a:1", "breed": "g8", "paddock": "a", "strays": true, "tether": 1, "tally": 2, "rein": 3, "loads": []any{}}
+			if tc.field != "" {
+				m[tc.field] = tc.value
+			}
+			body, err := Encode(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := ParseReport(body); (err == nil) != tc.ok {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
