Keep ordered attempts known until a higher token was seen; keep room that is being made

Cause, found by the simulation made harder (held messages around a crash, muted machines, more loss): a repeat of a carried-out direct order after its sender's end started an attempt that had been stopped and cleared, while its task ran elsewhere (ran_twice). An attempt started by a direct order that did not complete is now cleared only after a higher token was seen. Also found: room being made for one job went to a lower one, forty stops a second.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -471,3 +471,87 @@
 		t.Error("the case has no extra time to look at")
 	}
 }
+
+// A repeat of a direct order can follow the end of the process that sent it. It
+// must find the attempt still known, unless a higher token has been seen since
+// (found by the simulation: the repeat ran a task that had moved on).
+func TestOrderedAttemptStaysKnown(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		why     string
+		ordered bool
+		raised  bool
+		clear   bool
+	}{
+		{"stopped, started by an order", wire.WhyStopped, true, false, false},
+		{"failed, started by an order", wire.WhyError, true, false, false},
+		{"stopped, token raised since", wire.WhyStopped, true, true, true},
+		{"stopped, started in a report's answer", wire.WhyStopped, false, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			token := h.settle("vm-1")
+			h.submit(jobOf("job-000001", 1))
+			var attempt uint64
+			if tc.ordered {
+				o := h.orders()[0]
+				attempt = starts(o.Req.(wire.Orders).Commands)[0].Attempt
+				h.open = nil
+				r := report("vm-1", 1, 10, token, wire.TaskReport{Task: "job-000001/0", Attempt: attempt, State: wire.TaskRunning})
+				h.step(Result{ID: o.ID, Status: 200, Body: &r})
+			} else {
+				h.dropCalls()
+				_, body := h.checkin(report("vm-1", 1, 10, token))
+				attempt = starts(body.Commands)[0].Attempt
+			}
+			shown := token
+			if tc.raised {
+				shown++ // as after a rewrite of the machine's record
+				h.c.mach["vm-1"].mark = shown
+			}
+			_, body := h.checkin(report("vm-1", 1, 20, shown, wire.TaskReport{Task: "job-000001/0", Attempt: attempt, State: wire.TaskExited, Why: tc.why}))
+			cleared := false
+			for _, c := range body.Commands {
+				cleared = cleared || c.Op == wire.OpForget && c.Attempt == attempt
+			}
+			if cleared != tc.clear {
+				t.Errorf("cleared: %v, want %v", cleared, tc.clear)
+			}
+		})
+	}
+}
+
+// Room that is being made for one job is not given to another meanwhile, which
+// would only be stopped in its turn (found by the simulation: forty stops a second).
+func TestRoomBeingMadeIsKept(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	low := jobOf("job-000001", 4)
+	low.Priority = "best_effort"
+	h.submit(low)
+	h.dropCalls()
+	_, body := h.checkin(report("vm-1", 1, 10, token))
+	var running []wire.TaskReport
+	for _, c := range starts(body.Commands)[:3] { // one of the four ends at once
+		running = append(running, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+	}
+	h.checkin(report("vm-1", 1, 11, token, running...))
+	high := jobOf("job-000002", 1)
+	high.Priority, high.CPUs = "high", 2
+	h.submit(high)
+	h.run(20 * sec / 10)
+	h.open = nil
+	_, body = h.checkin(report("vm-1", 1, 12, token, running...))
+	stops := 0
+	for _, c := range body.Commands {
+		if c.Op == wire.OpStop {
+			stops++
+		}
+		if c.Op == wire.OpStart && c.Task[:10] == "job-000001" {
+			t.Errorf("%s is started in the room that is being made", c.Task)
+		}
+	}
+	if stops == 0 {
+		t.Error("no room is being made")
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -358,7 +358,7 @@
 				row.State = peer.MachineBad
 			case v.leaving || c.now < v.goingTo:
 				row.State = peer.MachineGoing
-			case v.settled && len(v.slots) == 0:
+			case v.settled && v.empty():
 				row.State, row.SinceUS = peer.MachineIdle, int64(c.now-v.idleAt)
 			}
 			if row.State == peer.MachineIdle || row.State == peer.MachineBusy {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -100,6 +100,27 @@
 	why     string
 	kept    bool
 	acted   bool // exited, and its end is on record or dealt with
+	// ordered is the token of the direct order that carried the start; 0: none.
+	ordered uint64
+}
+
+// clearable: the worker may forget an attempt that is dealt with. One that was
+// started by a direct order and did not complete must stay known until a higher
+// token was seen: a repeat of that order, which can follow the end of the
+// process that sent it, has no effect only as long as the attempt is known.
+func (sl *slot) clearable() bool {
+	return sl.state == slotExited && sl.acted &&
+		(sl.ordered == 0 || sl.why == wire.WhyDone || sl.warm || sl.m.v.token > sl.ordered)
+}
+
+// empty: nothing on the machine matters any more.
+func (v *view) empty() bool {
+	for _, sl := range v.slots {
+		if sl.state != slotExited || !sl.acted {
+			return false
+		}
+	}
+	return true
 }
 
 func (c *Core) newView() *view {
@@ -510,7 +531,7 @@
 		}
 		name := wire.TaskName(sl.key.job, sl.idx)
 		switch {
-		case sl.state == slotExited && sl.acted:
+		case sl.clearable():
 			out = append(out, wire.Command{Op: wire.OpForget, Task: name, Attempt: sl.key.attempt})
 		case sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited:
 			grace := &zero
@@ -532,7 +553,7 @@
 		if forReport {
 			sl.state, sl.sentSeq = slotSent, v.seq
 		} else {
-			sl.state = slotOrdered
+			sl.state, sl.ordered = slotOrdered, c.token(c.own.shares[m.rec.Share], m)
 		}
 		sl.since = c.now
 		out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
@@ -698,7 +719,7 @@
 		}
 	}
 	if s == nil || !c.canAnswer() || m.v.leaving || m.v.orderBusy || m.v.unclear != 0 || !m.v.settled && !m.v.gone ||
-		len(m.v.slots) > 0 || (!r.Retire && (r.Share == s.id || m.v.gone)) {
+		!m.v.empty() || (!r.Retire && (r.Share == s.id || m.v.gone)) {
 		return false
 	}
 	rec := m.rec
@@ -761,13 +782,14 @@
 		if !v.settled {
 			c.settleMachine(s, m)
 		}
-		if v.unclear != 0 && !v.raiseBusy && c.now >= v.raiseNext && c.canAnswer() && c.token(s, m) <= v.unclear {
+		if !v.raiseBusy && c.now >= v.raiseNext && c.canAnswer() &&
+			(v.unclear != 0 && c.token(s, m) <= v.unclear || v.kept(c.token(s, m)) > maxKept) {
 			c.raise(s, m)
 		}
 		if v.takenAt != 0 {
 			c.drain(m)
 		}
-		if c.now < v.goingTo && !v.leaving && len(v.slots) == 0 {
+		if c.now < v.goingTo && !v.leaving && v.empty() {
 			now := v.going
 			now.Drain = false // or it would prolong itself
 			c.release(now)
@@ -783,6 +805,21 @@
 	}
 }
 
+// maxKept is how many dealt with attempts a machine may go on reporting before
+// its token is raised so that they can be cleared.
+const maxKept = 24
+
+// kept counts the attempts that wait for a token above the current one.
+func (v *view) kept(token uint64) int {
+	n := 0
+	for _, sl := range v.slots {
+		if sl.state == slotExited && sl.acted && !sl.clearable() && sl.ordered >= token {
+			n++
+		}
+	}
+	return n
+}
+
 // allSettled: nothing of a former owner can still be on an unknown place.
 func (c *Core) allSettled(s *share) bool {
 	for _, m := range c.mach {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -335,9 +335,7 @@
 			continue
 		}
 		for need > 0 && r.cpus+r.soonCPUs+eps >= j.sub.CPUs && r.gpus+r.soonGPUs+eps >= j.sub.GPUs && r.mem+r.soonMem+eps >= j.sub.MemGB {
-			r.soonCPUs -= j.sub.CPUs
-			r.soonGPUs -= j.sub.GPUs
-			r.soonMem -= j.sub.MemGB
+			r.reserve(j.sub)
 			need--
 		}
 	}
@@ -346,12 +344,24 @@
 		if r == nil {
 			return
 		}
-		r.soonCPUs -= j.sub.CPUs
-		r.soonGPUs -= j.sub.GPUs
-		r.soonMem -= j.sub.MemGB
+		r.reserve(j.sub)
 	}
 }
 
+// reserve keeps room for a task that waits for others to go: what comes free
+// first, and the rest of what is free already, or a job further down the line
+// would take that and be stopped for it in turn.
+func (r *room) reserve(sub *wire.Submission) {
+	take := func(free, soon *float64, need float64) {
+		part := min(max(*soon, 0), need)
+		*soon -= part
+		*free -= need - part
+	}
+	take(&r.cpus, &r.soonCPUs, sub.CPUs)
+	take(&r.gpus, &r.soonGPUs, sub.GPUs)
+	take(&r.mem, &r.soonMem, sub.MemGB)
+}
+
 // patience is how long a job waits for room to come free by itself before
 // others are stopped for it. Tasks end all the time, and work that is stopped is
 // partly lost.
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -47,6 +47,7 @@
 	users   []*user
 	cuts    map[string]cutMode
 	held    map[string][]func()
+	mute    map[string]micros.Micros // machines whose answers to orders are lost
 	cfg     core.Config
 	// Broken lists the rules that were broken, with time and circumstances.
 	Broken []string
@@ -91,6 +92,7 @@
 	s := &Sim{
 		plan: p, rng: rand.New(rand.NewPCG(p.Seed, 77)), now: sec,
 		workers: map[string]*Worker{}, cuts: map[string]cutMode{}, held: map[string][]func(){},
+		mute: map[string]micros.Micros{},
 	}
 	s.State = newState(s)
 	s.Cloud = newCloud(s)
@@ -199,7 +201,7 @@
 	case cutReset:
 		return
 	}
-	if s.plan.Faults && s.chance(0.004) {
+	if s.plan.Faults && s.chance(0.012) {
 		return
 	}
 	s.after(s.delay(), deliver)
@@ -337,7 +339,15 @@
 		n.recent = n.recent[1:]
 	}
 	exchange(n.sim, n.link(call), call.Timeout,
-		func(reply func(core.Result)) { n.sim.serve(call, reply) },
+		func(reply func(core.Result)) {
+			if call.To == core.ToState && n.sim.now < n.sim.State.refuse[n.label] {
+				if _, isWatch := call.Req.(core.Watch); !isWatch {
+					reply(core.Result{Status: 503}) // watches wait, as in an outage
+				}
+				return
+			}
+			n.sim.serve(call, reply)
+		},
 		func(r core.Result, ok bool) {
 			if n.life != life || n.core == nil {
 				return
@@ -375,7 +385,11 @@
 		s.Cloud.serve(call.Req, reply)
 	case core.ToWorker:
 		if w := s.workers[call.Addr]; w != nil {
-			w.serve(call.Req, reply)
+			w.serve(call.Req, func(r core.Result) {
+				if s.now >= s.mute[w.id] {
+					reply(r)
+				}
+			})
 		}
 	case core.ToPeer:
 		s.servePeer(call, reply)
@@ -454,7 +468,7 @@
 
 // scheduleFaults draws what goes wrong, overlapping as it comes.
 func (s *Sim) scheduleFaults() {
-	n := 4 + s.rng.IntN(6)
+	n := 6 + s.rng.IntN(9)
 	for range n {
 		s.after(s.span(5*sec, s.plan.Length), s.fault)
 	}
@@ -479,7 +493,7 @@
 			peerLinks = append(peerLinks, n.label+"-"+o.label)
 		}
 	}
-	what := s.rng.IntN(13)
+	what := s.rng.IntN(16)
 	s.trace("fault %d at %s for %v s, mode %d", what, n.label, d.Seconds(), mode)
 	switch what {
 	case 0, 1:
@@ -527,5 +541,15 @@
 		}
 	case 12:
 		s.State.refuse[n.label] = s.now + d
+	case 13: // its messages to workers are held back, it ends, and they arrive after a successor's
+		s.cut(workerLinks, cutHold, s.span(4*sec, 14*sec))
+		s.after(s.span(100*ms, 3*sec), func() { n.crash(s.span(4*sec, 20*sec)) })
+	case 14: // it loses the state service for good, comes back with an old view, and soon owns again
+		s.cut([]string{n.label + "-state"}, mode, s.span(5*sec, 25*sec))
+	case 15: // answers of one machine are lost for a while
+		if len(s.names) > 0 {
+			w := s.names[s.rng.IntN(len(s.names))]
+			s.mute[w] = s.now + s.span(2*sec, 10*sec)
+		}
 	}
 }
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -51,8 +51,12 @@
 	if r.IntN(12) == 0 {
 		u.bad, u.cancels = true, true
 	}
+	longest := 12 * sec
+	if u.cancels {
+		longest = micros.Minute // or it would be over before its cancellation has to be
+	}
 	for range u.sub.Tasks {
-		u.runs = append(u.runs, s.span(2*sec, 12*sec))
+		u.runs = append(u.runs, s.span(2*sec, longest))
 	}
 	u.progress = make([]micros.Micros, u.sub.Tasks)
 	return u
