Put starts into a report's answer instead of an order beside it

Cause: placing during a report sent the reporting machine a direct order as well as the answer, found by a test that could not fail.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -218,6 +218,8 @@
 	attempts uint64
 	dirty    bool // placement has something to look at
 	schedAt  micros.Micros
+	// answering is the machine whose report is being answered.
+	answering *machine
 }
 
 // New makes a core. Equal seeds and inputs give equal effects.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -525,33 +525,40 @@
 // would only be stopped in its turn (found by the simulation: forty stops a second).
 func TestRoomBeingMadeIsKept(t *testing.T) {
 	h := newHarness(t, nil)
-	token := h.settle("vm-1")
-	low := jobOf("job-000001", 4)
-	low.Priority = "best_effort"
-	h.submit(low)
+	token := h.settle("vm-1") // four CPUs
+	job := func(id, priority string, tasks int, cpus float64) {
+		s := jobOf(id, tasks)
+		s.Priority, s.CPUs = priority, cpus
+		h.submit(s)
+	}
+	job("job-000001", "standard", 1, 2)
+	job("job-000002", "best_effort", 2, 2) // the second task waits
 	h.dropCalls()
 	_, body := h.checkin(report("vm-1", 1, 10, token))
-	var running []wire.TaskReport
-	for _, c := range starts(body.Commands)[:3] { // one of the four ends at once
-		running = append(running, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
-	}
-	h.checkin(report("vm-1", 1, 11, token, running...))
-	high := jobOf("job-000002", 1)
-	high.Priority, high.CPUs = "high", 2
-	h.submit(high)
-	h.run(20 * sec / 10)
-	h.open = nil
-	_, body = h.checkin(report("vm-1", 1, 12, token, running...))
+	running := map[string]wire.TaskReport{}
+	for _, c := range starts(body.Commands) {
+		running[c.Task] = wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning}
+	}
+	first, second := running["job-000001/0"], running["job-000002/0"]
+	if first.Attempt == 0 || second.Attempt == 0 {
+		t.Fatalf("running %v", running)
+	}
+	h.checkin(report("vm-1", 1, 11, token, first, second))
+	job("job-000003", "standard", 1, 3) // may stop job-000002, which is not enough
+	h.run(2 * sec)
+	// The first ends: what it leaves and what job-000002 holds are enough.
+	first.State, first.Why = wire.TaskExited, wire.WhyDone
+	_, body = h.checkin(report("vm-1", 1, 12, token, first, second))
 	stops := 0
 	for _, c := range body.Commands {
 		if c.Op == wire.OpStop {
 			stops++
 		}
-		if c.Op == wire.OpStart && c.Task[:10] == "job-000001" {
+		if c.Op == wire.OpStart {
 			t.Errorf("%s is started in the room that is being made", c.Task)
 		}
 	}
-	if stops == 0 {
-		t.Error("no room is being made")
+	if stops != 1 {
+		t.Errorf("%d tasks stopped, want 1: %v", stops, body.Commands)
 	}
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -193,7 +193,9 @@
 	if v.settled {
 		c.dirty = true
 		c.schedAt = c.now
+		c.answering = m // what it is to do goes into the answer, not into an order
 		c.place()
+		c.answering = nil
 	}
 	commands := c.commands(m, true)
 	v.answered = c.now
@@ -580,7 +582,7 @@
 	for _, id := range sortedKeys(c.mach) {
 		m := c.mach[id]
 		v := m.v
-		if v == nil || !v.settled || v.gone || v.orderBusy || v.unclear != 0 || len(v.slots) == 0 {
+		if v == nil || m == c.answering || !v.settled || v.gone || v.orderBusy || v.unclear != 0 || len(v.slots) == 0 {
 			continue
 		}
 		s := c.acting(m.rec.Share)
