--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -370,7 +370,7 @@
 		if within < 10*micros.Second {
 			return 0
 		}
-		return within / 3
+		return within / 10
 	}
 	return micros.Second
 }
