--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -341,9 +341,9 @@
 			continue
 		}
 		d := peer.Demand{Share: s.id, ArrivalCPUs: s.arrivals.rate(c.now)}
-		for i, t := range c.cfg.Teams {
-			if c.shareOf != nil && c.shareOf[i] == s.id {
-				d.Guarantee += t.CPUs
+		for j := range c.withinGuarantee(s) {
+			if j.run != nil {
+				d.Guarantee += float64(j.sub.Tasks-j.run.count) * j.sub.CPUs
 			}
 		}
 		rooms, used := c.rooms(s)
@@ -941,8 +941,8 @@
 	return false
 }
 
-// parts says how many of total CPUs each share should have: first its
-// guarantees, as far as it can use them, then by the work that waits.
+// parts says how many of total CPUs each share should have: first what its
+// jobs within a guarantee can use, then by the work that is left.
 func (c *Core) parts(demand map[int]*peer.Demand, total float64) map[int]float64 {
 	part, can := map[int]float64{}, map[int]float64{}
 	for id, d := range demand {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -376,7 +376,7 @@
 		c.later(func() { w(finalAnswer(f)) })
 	}
 	if f.state == wire.StateDone {
-		c.log(Info, "job done", "job", id, "tasks", f.tasks, "seconds", (c.now - r.arrival).Seconds())
+		c.log(Info, "job done", "job", id, "class", j.sub.Class, "team", j.sub.Team, "tasks", f.tasks, "waited_s", (r.firstRun - r.arrival).Seconds(), "seconds", (c.now - r.arrival).Seconds())
 	}
 	for _, idx := range slices.Sorted(keysOf(r.active)) {
 		s := r.active[idx]
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -67,7 +67,7 @@
 	Busy float64 `msgpack:"b"`
 	// RunLeftUS is the work left in running tasks, in CPU microseconds.
 	RunLeftUS int64 `msgpack:"w"`
-	// Guarantee is the sum of its teams' guaranteed CPUs.
+	// Guarantee is what its unfinished jobs within their team's guarantee can use.
 	Guarantee float64 `msgpack:"u"`
 	// ArrivalCPUs is the work that came in of late, in CPUs kept busy.
 	ArrivalCPUs float64   `msgpack:"n"`
