--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -123,7 +123,7 @@
 // Defaults are the values used where the operators say nothing.
 func Defaults() Options {
 	return Options{
-		LeaseMS:       5000,
+		LeaseMS:       4000,
 		SilentReturnS: 14,
 		DrainHorizonS: 60,
 		IdleReturnS:   25,
