Weigh victims by priority

Cause: shaft-checks stopped young quote tasks rather than catalogue tasks, which save and have time.

--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -444,7 +444,8 @@
 	if k := sl.job.sub.CheckpointS; k > 0 {
 		ran = min(ran, k) // at most an interval is unsaved
 	}
-	return ran * sl.job.sub.CPUs
+	// Its user also waits longer, which counts for more the higher its priority.
+	return ran*sl.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[sl.job.priority] + 4*float64(sl.job.priority)
 }
 
 // haltFor says how a victim is stopped: with time to save, unless the job that
