--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1005,7 +1005,7 @@
 		surplus := w.have - wanted
 		keep := c.cfg.IdleReturn
 		if surplus-i.cpus >= reserve {
-			keep = min(keep, 5*micros.Second)
+			keep = min(keep, 2*micros.Second)
 		}
 		if surplus >= i.cpus && i.since >= keep || pressed && i.since >= 5*micros.Second {
 			w.have -= i.cpus
