--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -562,3 +562,39 @@
 		t.Errorf("%d tasks stopped, want 1: %v", stops, body.Commands)
 	}
 }
+
+// Readiness: users go elsewhere if a node alone has lost the state service, but
+// not if all have, also when they were started in the outage.
+func TestReady(t *testing.T) {
+	ready := func(h *harness) int { return h.ask(func(r ReplyID) Input { return Ready{Reply: r} }).Status }
+	for _, tc := range []struct {
+		name              string
+		before, peerState bool // it had the state service before; a peer has it now
+		want              int
+	}{
+		{"lost by all", true, false, 200},
+		{"lost by this node alone", true, true, 503},
+		{"started without it, as all", false, false, 200},
+		{"started without it, alone", false, true, 503},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"} })
+			if tc.before && ready(h) != 200 {
+				t.Fatal("not ready with all at hand")
+			}
+			if !tc.before {
+				h.c = New(h.c.cfg, 2)
+				h.watches, h.answers = nil, map[ReplyID]Answer{}
+			}
+			h.stateDown, h.peersDown = true, true
+			for range 12 {
+				h.run(sec / 2)
+				p := h.c.peers["n-1"]
+				p.heardAt, p.stateOK = h.now, tc.peerState
+			}
+			if got := ready(h); got != tc.want {
+				t.Errorf("ready: %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -17,22 +17,38 @@
 
 func (c *Core) ready(in Ready) {
 	status := 503
-	if c.own.job.ready && c.own.ctl.ready && len(c.types) > 0 && c.servesUsers() {
+	switch {
+	case c.own.job.ready && c.own.ctl.ready && len(c.types) > 0:
+		if c.servesUsers() {
+			status = 200
+		}
+	case c.now-c.began > 2*micros.Second && !c.stateFresh() && !c.peerHasState():
+		// Started in an outage of the state service that all share. Users are
+		// better off with a 503 and a time to come back than with no node at all,
+		// which the balancer would also remember for a while afterwards.
 		status = 200
 	}
 	c.answer(in.Reply, status, nil, 0)
 }
 
+// peerHasState: another controller is up and has the state service.
+func (c *Core) peerHasState() bool {
+	for _, p := range c.peers {
+		if c.alive(p) && p.stateOK {
+			return true
+		}
+	}
+	return false
+}
+
 // servesUsers: users are better off elsewhere if this node has lost the state
 // service while another has not. If all have lost it, they are not.
 func (c *Core) servesUsers() bool {
 	if c.now-c.own.contact < 3*micros.Second {
 		return true
 	}
-	for _, p := range c.peers {
-		if c.alive(p) && p.stateOK {
-			return false
-		}
+	if c.peerHasState() {
+		return false
 	}
 	// Nobody can be asked: alone without the state service is no place for users
 	// once the lease has run out, unless there is nobody else.
