--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,7 @@
 	"garnethitch/internal/wire"
 )
 
-// Team is a team's guarantee and limit; Infinity-free: 0 in a limit is none.
+// Team is a team's guarantee and limit; a limit of 0 is none.
 type Team struct {
 	Name                         string
 	CPUs, CPUsMax, GPUs, GPUsMax float64
@@ -25,7 +25,6 @@
 	Peers  []string // labels of the other controllers
 	Shares int
 	Teams  []Team
-	Zones  []string
 
 	Lease       micros.Micros // ours, in the state service
 	ReportEvery micros.Micros
@@ -34,7 +33,6 @@
 
 	StateRPS, WriteRPS float64 // the whole service's; the core keeps to its part
 	ValueBytes         int
-	TxnOps             int
 	CloudRPS           float64
 	ListLag            micros.Micros
 
@@ -44,12 +42,8 @@
 	Quarantine   micros.Micros
 	MaxMachines  int
 
-	// Urgent holds the classes whose tasks are wanted started within a time,
-	// Finished those whose jobs are wanted done within one.
-	Urgent, Finished map[string]micros.Micros
-	// GuaranteedStart: work within a guarantee is wanted started within this; 0:
-	// nothing is said.
-	GuaranteedStart micros.Micros
+	// Urgent holds the classes whose tasks are wanted started within a time.
+	Urgent map[string]micros.Micros
 }
 
 // Instant is a reading of both clocks.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -1099,11 +1100,4 @@
 	c.returnMachines(silent)
 }
 
-func shareIDs(demand map[int]*peer.Demand) []int {
-	var ids []int
-	for id := range demand {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func shareIDs(demand map[int]*peer.Demand) []int { return slices.Sorted(maps.Keys(demand)) }
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -38,11 +38,11 @@
 
 func newHarness(t *testing.T, change func(*Config)) *harness {
 	cfg := Config{
-		Label: "n-0", Shares: 1, Teams: []Team{{Name: "t"}}, Zones: []string{"a", "b"},
+		Label: "n-0", Shares: 1, Teams: []Team{{Name: "t"}},
 		Lease: 4 * sec, ReportEvery: 2 * sec, WorkerLease: 10 * sec, Cancel: 20 * sec,
-		StateRPS: 1000, WriteRPS: 1000, ValueBytes: 8 << 10, TxnOps: 8, CloudRPS: 100, ListLag: sec,
+		StateRPS: 1000, WriteRPS: 1000, ValueBytes: 8 << 10, CloudRPS: 100, ListLag: sec,
 		DrainHorizon: 30 * sec, IdleReturn: micros.Minute, Quarantine: 30 * sec, MaxMachines: 10,
-		Urgent: map[string]micros.Micros{}, Finished: map[string]micros.Micros{},
+		Urgent: map[string]micros.Micros{},
 	}
 	if change != nil {
 		change(&cfg)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"maps"
 	"math"
 	"slices"
 
@@ -378,7 +379,7 @@
 	if f.state == wire.StateDone {
 		c.log(Info, "job done", "job", id, "class", j.sub.Class, "team", j.sub.Team, "tasks", f.tasks, "waited_s", (r.firstRun - r.arrival).Seconds(), "seconds", (c.now - r.arrival).Seconds())
 	}
-	for _, idx := range slices.Sorted(keysOf(r.active)) {
+	for _, idx := range slices.Sorted(maps.Keys(r.active)) {
 		s := r.active[idx]
 		if s.state == slotAssigned {
 			c.freeSlot(s, false)
@@ -425,10 +426,8 @@
 // estimates correct the owners' run times by what the class has shown.
 type estimates struct{ byClass map[string]*classRuns }
 
-type classRuns struct {
-	logRatio, weight float64
-	// perSize keeps typical seconds, for machines that are slower than others.
-}
+// classRuns is the mean of log(run time / estimate), with how much it is worth.
+type classRuns struct{ logRatio, weight float64 }
 
 func (e *estimates) init() { e.byClass = map[string]*classRuns{} }
 
@@ -457,7 +456,7 @@
 	ratio := math.Log(max(took.Seconds(), 0.05) / s.EstimateS)
 	ratio = max(-2, min(2, ratio))
 	cr.weight = min(cr.weight+0.2, 40)
-	cr.logRatio += (ratio - cr.logRatio) / max(cr.weight*5, 1) * 1
+	cr.logRatio += (ratio - cr.logRatio) / max(cr.weight*5, 1)
 }
 
 // rateMeter measures work that arrives, decaying over about a minute.
@@ -514,13 +513,3 @@
 	*h = old[:len(old)-1]
 	return x
 }
-
-func keysOf[K comparable, V any](m map[K]V) func(func(K) bool) {
-	return func(yield func(K) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -143,6 +143,9 @@
 	moved := m.mark != 0 && m.rec.Share != rec.Share || rec.Retiring
 	m.rec, m.mark = rec, mark
 	if moved {
+		if m.v != nil && !m.v.empty() {
+			c.log(Error, "machine moved with tasks on it", "machine", id, "slots", len(m.v.slots))
+		}
 		m.v = nil
 	}
 	if s := c.own.shares[rec.Share]; s.active && m.v == nil && !rec.Retiring {
@@ -333,7 +336,7 @@
 		}
 		sl.state, sl.why, sl.kept = slotExited, t.Why, t.Saved
 		sl.since = c.now
-		c.log(Debug, "task exited", "task", t.Task, "machine", sl.m.id, "why", t.Why, "saved", t.Saved, "ran_s", (c.now - max(sl.runAt, c.now*b2m(sl.runAt == 0))).Seconds())
+		c.log(Debug, "task exited", "task", t.Task, "machine", sl.m.id, "why", t.Why, "saved", t.Saved, "ran_s", sl.ran(c.now).Seconds())
 		if sl.owned {
 			c.exited(sl)
 		}
@@ -344,7 +347,13 @@
 	}
 }
 
-func b2m(b bool) micros.Micros { return micros.Micros(b2i(b)) }
+// ran is how long an attempt has been seen running.
+func (sl *slot) ran(now micros.Micros) micros.Micros {
+	if sl.runAt == 0 {
+		return 0
+	}
+	return now - sl.runAt
+}
 
 // adopt ties tasks found on a machine to their jobs, or stops what should not
 // be there.
@@ -422,10 +431,11 @@
 // again unless it is done. lost says that work was under way.
 func (c *Core) freeSlot(sl *slot, lost bool) {
 	delete(sl.m.v.slots, sl.key)
-	c.release1(sl, lost)
+	c.requeue(sl, lost)
 }
 
-func (c *Core) release1(sl *slot, lost bool) {
+// requeue lets an attempt's task wait again, unless it is done or not ours.
+func (c *Core) requeue(sl *slot, lost bool) {
 	if !sl.owned {
 		return
 	}
@@ -513,7 +523,7 @@
 		c.log(Info, "start refused", "task", wire.TaskName(j.id, sl.idx), "machine", m.id, "why", sl.why)
 	}
 	sl.acted = true
-	c.release1(sl, false)
+	c.requeue(sl, false)
 }
 
 // commands gives what a machine is to do. Runs go out when forReport is set or
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -618,11 +619,4 @@
 	return quiet
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -90,21 +90,20 @@
 func CoreConfig(set config.Settings, opt config.Options) core.Config {
 	cl := set.Cluster
 	cfg := core.Config{
-		Label: set.Label, Shares: cl.Nodes, Zones: cl.Zones,
+		Label: set.Label, Shares: cl.Nodes,
 		Lease:       micros.Micros(opt.LeaseMS) * micros.Millisecond,
 		ReportEvery: micros.FromSeconds(cl.Workers.ReportS),
 		WorkerLease: micros.FromSeconds(cl.Workers.LeaseS),
 		Cancel:      micros.FromSeconds(cl.Workers.CancelS),
 		StateRPS:    cl.State.RPS, WriteRPS: cl.State.WriteRPS,
-		ValueBytes: int(cl.State.ValueKB * 1024), TxnOps: cl.State.TxnOps,
-		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
+		ValueBytes: int(cl.State.ValueKB * 1024),
+		CloudRPS:   cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
 		SilentReturn: micros.FromSeconds(opt.SilentReturnS),
 		DrainHorizon: micros.FromSeconds(opt.DrainHorizonS),
 		IdleReturn:   micros.FromSeconds(opt.IdleReturnS),
 		Quarantine:   micros.FromSeconds(opt.QuarantineS),
 		MaxMachines:  opt.MaxMachines,
 		Urgent:       map[string]micros.Micros{},
-		Finished:     map[string]micros.Micros{},
 	}
 	for _, s := range set.Seeds {
 		cfg.Peers = append(cfg.Peers, s.Label)
@@ -113,15 +112,8 @@
 		cfg.Teams = append(cfg.Teams, core.Team(t))
 	}
 	for _, o := range cl.Objectives {
-		within := micros.FromSeconds(o.WithinS)
-		switch {
-		case within <= 0:
-		case o.Kind == "wait" && o.Class != "":
-			cfg.Urgent[o.Class] = within
-		case o.Kind == "finished" && o.Class != "":
-			cfg.Finished[o.Class] = within
-		case o.Kind == "guarantee":
-			cfg.GuaranteedStart = within
+		if o.Kind == "wait" && o.Class != "" && o.WithinS > 0 {
+			cfg.Urgent[o.Class] = micros.FromSeconds(o.WithinS)
 		}
 	}
 	return cfg
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -97,9 +97,9 @@
 	s.State = newState(s)
 	s.Cloud = newCloud(s)
 	s.cfg = core.Config{
-		Shares: p.Nodes, Teams: p.Teams, Zones: []string{"east", "west"},
+		Shares: p.Nodes, Teams: p.Teams,
 		Lease: 3 * sec, ReportEvery: 2 * sec, WorkerLease: 12 * sec, Cancel: 25 * sec,
-		StateRPS: 300, WriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 8,
+		StateRPS: 300, WriteRPS: 80, ValueBytes: 8 << 10,
 		CloudRPS: 10, ListLag: 2 * sec,
 		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
 		Urgent: map[string]micros.Micros{"rush": 3 * sec},
@@ -179,7 +179,7 @@
 
 func (s *Sim) chance(p float64) bool { return s.rng.Float64() < p }
 
-func (s *Sim) zone() string { return s.cfg.Zones[s.rng.IntN(len(s.cfg.Zones))] }
+func (s *Sim) zone() string { return [...]string{"east", "west"}[s.rng.IntN(2)] }
 
 // delay of one message: mostly short, now and then long.
 func (s *Sim) delay() micros.Micros {
