--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,8 +42,9 @@
 	Quarantine   micros.Micros
 	MaxMachines  int
 
-	// Urgent holds the classes whose tasks are wanted started within a time.
-	Urgent map[string]micros.Micros
+	// Urgent holds the classes whose tasks are wanted started within a time,
+	// Finished those whose jobs are wanted done within one.
+	Urgent, Finished map[string]micros.Micros
 }
 
 // Instant is a reading of both clocks.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -598,3 +598,40 @@
 		})
 	}
 }
+
+// A job that can only just be in time has others stopped at once, without time
+// to save; one that has time, or can't be in time any more, has not.
+func TestPressed(t *testing.T) {
+	deadline := func(s float64) *float64 { return &s }
+	for _, tc := range []struct {
+		name     string
+		deadline *float64
+		within   micros.Micros // of its class
+		want     bool
+	}{
+		{"no deadline", nil, 0, false},
+		{"time enough", deadline(100), 0, false},
+		{"must start within seconds", deadline(15), 0, true}, // expected to run 10 s
+		{"its class's time is short", nil, 18 * sec, true},
+		{"the shorter of both counts", deadline(100), 18 * sec, true},
+		{"too late already", deadline(5), 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Finished = map[string]micros.Micros{"c": tc.within} })
+			s := jobOf("job-000001", 1)
+			s.DeadlineS = tc.deadline
+			h.submit(s)
+			j := h.c.jobs.open["job-000001"]
+			if got := h.c.pressed(j); got != tc.want {
+				t.Errorf("pressed: %v, want %v", got, tc.want)
+			}
+			low := jobOf("job-000002", 1)
+			low.Priority, low.CheckpointS, low.SaveS = "best_effort", 5, 2
+			h.submit(low)
+			victim := &slot{job: h.c.jobs.open["job-000002"], state: slotRunning}
+			if got := h.c.haltFor(victim, j) == haltHard; got != tc.want {
+				t.Errorf("stopped without saving: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -372,9 +372,23 @@
 		}
 		return within / 10
 	}
+	if c.pressed(j) {
+		return 0
+	}
 	return micros.Second
 }
 
+// pressed: the job can still be in time, but only if its tasks start within
+// some seconds.
+func (c *Core) pressed(j *job) bool {
+	due := j.due
+	if within := c.cfg.Finished[j.sub.Class]; within > 0 {
+		due = min(due, micros.Micros(j.rec.AcceptedMS)*micros.Millisecond+within)
+	}
+	slack := due - c.wall - c.runs.expect(j.sub)
+	return slack > 0 && slack < 15*micros.Second
+}
+
 // cheapestVictims stops the tasks whose loss costs least on the machine where
 // that is least, and gives the machine; nil if nothing may be stopped.
 func (c *Core) cheapestVictims(j *job, rooms []*room, zones map[string]int) *room {
@@ -457,6 +471,9 @@
 	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent && within < 2*micros.FromSeconds(sl.job.sub.SaveS) {
 		return haltHard
 	}
+	if c.pressed(j) {
+		return haltHard
+	}
 	return haltSave
 }
 
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -104,6 +104,7 @@
 		Quarantine:   micros.FromSeconds(opt.QuarantineS),
 		MaxMachines:  opt.MaxMachines,
 		Urgent:       map[string]micros.Micros{},
+		Finished:     map[string]micros.Micros{},
 	}
 	for _, s := range set.Seeds {
 		cfg.Peers = append(cfg.Peers, s.Label)
@@ -112,8 +113,12 @@
 		cfg.Teams = append(cfg.Teams, core.Team(t))
 	}
 	for _, o := range cl.Objectives {
-		if o.Kind == "wait" && o.Class != "" && o.WithinS > 0 {
+		switch {
+		case o.Class == "" || o.WithinS <= 0:
+		case o.Kind == "wait":
 			cfg.Urgent[o.Class] = micros.FromSeconds(o.WithinS)
+		case o.Kind == "finished":
+			cfg.Finished[o.Class] = micros.FromSeconds(o.WithinS)
 		}
 	}
 	return cfg
