Tidy: one limit check, one new attempt, one demand a round; dead state removed

Behaviour as it was. Placing and prefetching share the limit check, the fit check and the making of an attempt; the leader works the demand out once a round instead of once more per silent machine, and sums it up once; letting a share go is one function for handing back and for deafness. Removed: fields that were only written (last save, preempted, saved, the fleet's dirty mark) and parts of peer messages that nobody read. Left as they are: settings texts in two test packages, which would need a package of their own.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -116,17 +116,11 @@
 func TestStartInDroppedAnswer(t *testing.T) {
 	h := newHarness(t, nil)
 	token := h.settle("vm-1")
-	h.submit(jobOf("job-000001", 1))
-	h.dropCalls() // the direct order never left: the start waits again
-	_, body := h.checkin(report("vm-1", 1, 10, token))
-	first := starts(body.Commands)
-	if len(first) != 1 {
-		t.Fatalf("commands %v, want a start", body.Commands)
-	}
-	_, body = h.checkin(report("vm-1", 1, 11, token))
+	first := h.startOne(token)
+	_, body := h.checkin(report("vm-1", 1, 11, token))
 	again := starts(body.Commands)
-	if len(again) != 1 || again[0].Attempt <= first[0].Attempt {
-		t.Errorf("after a report without the task: %v, want a start with an attempt above %d", body.Commands, first[0].Attempt)
+	if len(again) != 1 || again[0].Attempt <= first {
+		t.Errorf("after a report without the task: %v, want a start with an attempt above %d", body.Commands, first)
 	}
 	_, body = h.checkin(report("vm-1", 1, 12, token, wire.TaskReport{Task: "job-000001/0", Attempt: again[0].Attempt, State: wire.TaskRunning}))
 	if len(starts(body.Commands)) != 0 {
@@ -183,10 +177,7 @@
 func TestSilentMachine(t *testing.T) {
 	h := newHarness(t, nil)
 	token := h.settle("vm-1")
-	h.submit(jobOf("job-000001", 1))
-	h.dropCalls()
-	_, body := h.checkin(report("vm-1", 1, 10, token))
-	a := starts(body.Commands)[0].Attempt
+	a := h.startOne(token)
 	h.checkin(report("vm-1", 1, 11, token, wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskRunning}))
 	last := h.now
 	other := h.settle("vm-2")
@@ -332,10 +323,7 @@
 func TestUnansweredEnd(t *testing.T) {
 	h := newHarness(t, nil)
 	token := h.settle("vm-1")
-	h.submit(jobOf("job-000001", 1))
-	h.dropCalls()
-	_, body := h.checkin(report("vm-1", 1, 10, token))
-	a := starts(body.Commands)[0].Attempt
+	a := h.startOne(token)
 	h.lose, h.deafTo = wire.JobKey("job-000001"), wire.PrefixJob
 	h.checkin(report("vm-1", 1, 11, token, wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskExited, Why: wire.WhyDone}))
 	// Applied, not answered: the store says done, and so must every answer.
--- a/internal/core/ears.go
+++ b/internal/core/ears.go
@@ -55,8 +55,7 @@
 	e.deaf, e.good = true, 0
 	for _, s := range c.own.shares {
 		if s.active && !s.handing && c.isMine(&s.role) {
-			s.handing = true
-			c.dropRole(&s.role, ownerKey(s.id), s.mark, func() bool { return s.handing })
+			c.letGo(s)
 		}
 	}
 	if l := &c.own.leader; c.isMine(l) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -16,7 +16,6 @@
 // places no tasks.
 type fleet struct {
 	budget bucket
-	dirty  bool
 
 	typesAt   micros.Micros
 	typesBusy bool
@@ -121,9 +120,10 @@
 		return
 	}
 	f.planNext = c.now + micros.Second
-	c.collect()
+	demand := c.allDemand()
+	c.collect(demand)
 	if f.listedAt != 0 && len(c.types) > 0 {
-		c.plan()
+		c.plan(demand)
 	}
 }
 
@@ -462,7 +462,7 @@
 }
 
 // collect returns machines that are of no use any more.
-func (c *Core) collect() {
+func (c *Core) collect(demand map[int]*peer.Demand) {
 	f := &c.fleet
 	var back []string
 	for _, id := range sortedKeys(c.mach) {
@@ -475,7 +475,7 @@
 			back = append(back, id)
 		case ok && l.State == wire.MachineFailed:
 			back = append(back, id)
-		case !ok && f.listedAt != 0 && f.missing[id] != 0 && c.now-f.missing[id] > 2*c.cfg.ListLag+micros.Second && c.silentSays(id):
+		case !ok && f.listedAt != 0 && f.missing[id] != 0 && c.now-f.missing[id] > 2*c.cfg.ListLag+micros.Second && silentSays(demand, id):
 			back = append(back, id)
 		}
 	}
@@ -498,8 +498,8 @@
 }
 
 // silentSays: the share's owner has not heard the machine for a while.
-func (c *Core) silentSays(id string) bool {
-	for _, d := range c.allDemand() {
+func silentSays(demand map[int]*peer.Demand, id string) bool {
+	for _, d := range demand {
 		for _, m := range d.Machines {
 			if m.ID == id && m.State == peer.MachineSilent {
 				return true
@@ -564,9 +564,8 @@
 
 // plan moves idle machines to where work waits, rents what is missing, and
 // returns what is too much.
-func (c *Core) plan() {
+func (c *Core) plan(demand map[int]*peer.Demand) {
 	f := &c.fleet
-	demand := c.allDemand()
 	if len(demand) < len(c.own.shares) && c.now < f.ledAt+20*micros.Second {
 		return // some owner has not spoken yet
 	}
@@ -589,7 +588,8 @@
 			count++
 		}
 	}
-	work, parallel, arrival := 0.0, 0.0, 0.0
+	w := want{}
+	busy := 0.0
 	var groups []peer.Group
 	for _, d := range demand {
 		have += d.CPUs
@@ -598,28 +598,25 @@
 				have += c.types[rec.rec.Type].CPUs
 			}
 		}
-		work += workOf(d)
-		parallel += d.Busy
-		arrival += d.ArrivalCPUs
-		for _, g := range d.Groups {
-			parallel += float64(g.Waiting) * g.CPUs
-			groups = append(groups, g)
-		}
+		busy += d.Busy
+		w.work += workOf(d)
+		w.parallel += d.Busy + waitingCPUs(d)
+		w.arrival += d.ArrivalCPUs
+		groups = append(groups, d.Groups...)
 	}
+	w.have = have + booting
 	if c.fleet.hire == nil && count < c.cfg.MaxMachines {
-		c.rent(groups, want{work: work, arrival: arrival, parallel: parallel, have: have + booting}, c.cfg.MaxMachines-count)
+		c.rent(groups, w, c.cfg.MaxMachines-count)
 	}
-	busy := 0.0
 	for _, s := range c.own.shares {
 		if d := demand[s.id]; d != nil {
-			busy += d.Busy
 			c.log(Debug, "share demand", "share", s.id, "cpus", d.CPUs, "busy", d.Busy, "waiting", waitingCPUs(d), "work", workOf(d))
 		}
 	}
-	c.log(Debug, "fleet", "have", have, "busy", busy, "booting", booting, "work", work, "arrival", arrival, "parallel", parallel)
+	c.log(Debug, "fleet", "have", have, "busy", busy, "booting", booting, "work", w.work, "arrival", w.arrival, "parallel", w.parallel)
 	c.level(demand)
-	c.returnIdle(demand, want{work: work, arrival: arrival, parallel: parallel, have: have + booting}, count >= c.cfg.MaxMachines)
-	c.consolidate(demand, want{work: work, arrival: arrival, parallel: parallel, have: have + booting})
+	c.returnIdle(demand, w, count >= c.cfg.MaxMachines)
+	c.consolidate(demand, w)
 	c.replaceBad(demand)
 }
 
@@ -1019,6 +1016,7 @@
 // tasks can save and go on in the room that the share's other machines have, and
 // if they would otherwise keep a mostly unused machine for long.
 func (c *Core) consolidate(demand map[int]*peer.Demand, w want) {
+	needed := max(w.parallel, c.reserve(w))
 	for _, id := range shareIDs(demand) {
 		d := demand[id]
 		if waitingCPUs(d) > 0 {
@@ -1038,7 +1036,7 @@
 				break // one at a time
 			}
 			if m.State != peer.MachineBusy || !m.Saves || m.LeftUS < int64(30*micros.Second) || 2*m.Busy > mt.CPUs ||
-				w.have-mt.CPUs < max(w.parallel, c.reserve(w)) || d.CPUs-d.Busy-(mt.CPUs-m.Busy) < m.Busy {
+				w.have-mt.CPUs < needed || d.CPUs-d.Busy-(mt.CPUs-m.Busy) < m.Busy {
 				continue
 			}
 			if gain := (mt.CPUs - m.Busy) * micros.Micros(m.LeftUS).Seconds(); gain > most {
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -276,3 +276,17 @@
 	}
 	return out
 }
+
+// startOne submits job-000001 with one task and has it started on vm-1 by the
+// answer to a report; it gives the attempt.
+func (h *harness) startOne(token uint64) uint64 {
+	h.t.Helper()
+	h.submit(jobOf("job-000001", 1))
+	h.dropCalls() // the direct order never left: the start waits again
+	_, body := h.checkin(report("vm-1", 1, 10, token))
+	cmds := starts(body.Commands)
+	if len(cmds) != 1 {
+		h.t.Fatalf("commands %v, want a start", body.Commands)
+	}
+	return cmds[0].Attempt
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -92,13 +92,10 @@
 	owned   bool // it stands in job.run.active
 	since   micros.Micros
 	runAt   micros.Micros // when it was first seen running; 0: not yet
-	saveAt  micros.Micros // last progress that a restart would keep
 	halt    int
 	haltAt  micros.Micros
-	preempt bool
 	warm    bool // a done task run again for its image only; see warm.go
 	why     string
-	kept    bool
 	acted   bool // exited, and its end is on record or dealt with
 	// ordered is the token of the direct order that carried the start; 0: none.
 	ordered uint64
@@ -152,7 +149,6 @@
 		m.v = c.newView()
 		c.settleMachine(s, m)
 	}
-	c.fleet.dirty = true
 	c.dirty = true
 }
 
@@ -323,7 +319,6 @@
 		sl.state = slotRunning
 		if sl.runAt == 0 {
 			sl.runAt = c.now
-			sl.saveAt = c.now
 		}
 		if sl.job != nil {
 			sl.m.v.images[sl.job.sub.Image] = true
@@ -334,7 +329,7 @@
 		if was == slotExited {
 			return
 		}
-		sl.state, sl.why, sl.kept = slotExited, t.Why, t.Saved
+		sl.state, sl.why = slotExited, t.Why
 		sl.since = c.now
 		c.log(Debug, "task exited", "task", t.Task, "machine", sl.m.id, "why", t.Why, "saved", t.Saved, "ran_s", sl.ran(c.now).Seconds())
 		if sl.owned {
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -579,14 +579,19 @@
 			c.now < s.claimedAt+settledFor || !c.allSettled(s) || c.anyUnclear(s) {
 			continue
 		}
-		s.handing = true
 		c.own.handedAt = c.now
 		c.log(Info, "handing a share back", "share", s.id, "to", home.label)
-		c.dropRole(&s.role, ownerKey(s.id), s.mark, func() bool { return s.handing })
+		c.letGo(s)
 		return
 	}
 }
 
+// letGo stops all acting for a share and deletes its owner key.
+func (c *Core) letGo(s *share) {
+	s.handing = true
+	c.dropRole(&s.role, ownerKey(s.id), s.mark, func() bool { return s.handing })
+}
+
 // dropRole deletes our key of a role. Once it has been sent, this node never
 // acts under that mark again: a late copy could delete the key while our lease
 // lives, and a successor counts on our silence from then on.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -49,19 +49,15 @@
 	p.busy = true
 	p.nextAt = c.now + statusEvery
 	st := &peer.Status{
-		Incarnation: c.own.lease,
-		UptimeUS:    int64(c.now - c.began),
-		StateOK:     c.stateFresh(),
-		Deaf:        c.ears.deaf,
+		UptimeUS: int64(c.now - c.began),
+		StateOK:  c.stateFresh(),
+		Deaf:     c.ears.deaf,
 	}
 	for _, s := range c.own.shares {
 		if c.acting(s.id) != nil {
 			st.Owns = append(st.Owns, peer.Owned{Share: s.id, Mark: s.mark})
 		}
 	}
-	if c.leading() {
-		st.Leader = c.own.leader.mark
-	}
 	if c.own.leader.rec.Label == p.label {
 		st.Demand = c.demands()
 	}
@@ -106,11 +102,10 @@
 			p.demand, p.demAt = req.Status.Demand, c.now
 		}
 		resp.Status = &peer.StatusAck{
-			Incarnation: c.own.lease,
-			UptimeUS:    int64(c.now - c.began),
-			StateOK:     c.stateFresh(),
-			Deaf:        c.ears.deaf,
-			Quiet:       c.noteOwned(req.Status.Owns),
+			UptimeUS: int64(c.now - c.began),
+			StateOK:  c.stateFresh(),
+			Deaf:     c.ears.deaf,
+			Quiet:    c.noteOwned(req.Status.Owns),
 		}
 		for _, id := range sortedKeys(c.heard) {
 			if len(resp.Status.Heard) < 200 {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -26,6 +26,21 @@
 // usage counts what could be on machines, by team.
 type usage struct{ cpus, gpus float64 }
 
+func (u *usage) add(sub *wire.Submission) {
+	u.cpus += sub.CPUs
+	u.gpus += sub.GPUs
+}
+
+// over: one more task would pass the team's limit.
+func (u *usage) over(t Team, sub *wire.Submission) bool {
+	return t.CPUsMax > 0 && u.cpus+sub.CPUs > t.CPUsMax+eps || t.GPUsMax > 0 && u.gpus+sub.GPUs > t.GPUsMax+eps
+}
+
+// fits: a task finds room now.
+func (r *room) fits(sub *wire.Submission) bool {
+	return r.usable && r.cpus+eps >= sub.CPUs && r.gpus+eps >= sub.GPUs && r.mem+eps >= sub.MemGB
+}
+
 const eps = 1e-6
 
 // place starts waiting tasks where there is room, for every share of this node.
@@ -70,8 +85,7 @@
 				continue
 			}
 			sub := sl.job.sub
-			used[sl.job.team].cpus += sub.CPUs
-			used[sl.job.team].gpus += sub.GPUs
+			used[sl.job.team].add(sub)
 			r.cpus -= sub.CPUs
 			r.gpus -= sub.GPUs
 			r.mem -= sub.MemGB
@@ -178,11 +192,11 @@
 		return
 	}
 	rooms, used := c.rooms(s)
-	c.prefetch(s, rooms, used, true)
+	c.prefetch(rooms, used, true)
 	for _, j := range jobs {
 		c.placeJob(s, j, rooms, used)
 	}
-	c.prefetch(s, rooms, used, false)
+	c.prefetch(rooms, used, false)
 }
 
 func (c *Core) placeJob(s *share, j *job, rooms []*room, used []usage) {
@@ -207,7 +221,7 @@
 			return
 		}
 		u := &used[j.team]
-		if team.CPUsMax > 0 && u.cpus+j.sub.CPUs > team.CPUsMax+eps || team.GPUsMax > 0 && u.gpus+j.sub.GPUs > team.GPUsMax+eps {
+		if u.over(team, j.sub) {
 			return
 		}
 		best := c.pick(j, idx, rooms, zones)
@@ -217,8 +231,7 @@
 		}
 		c.assign(j, idx, best)
 		zones[best.m.rec.Zone]++
-		u.cpus += j.sub.CPUs
-		u.gpus += j.sub.GPUs
+		u.add(j.sub)
 		if r.probeAt != 0 {
 			return
 		}
@@ -263,8 +276,7 @@
 	var best *room
 	bestScore := math.Inf(-1)
 	for _, r := range rooms {
-		if !r.usable || r.tasks >= maxTasksPerMachine ||
-			r.cpus+eps < j.sub.CPUs || r.gpus+eps < j.sub.GPUs || r.mem+eps < j.sub.MemGB ||
+		if r.tasks >= maxTasksPerMachine || !r.fits(j.sub) ||
 			!c.allowed(j, r.m, zones) || c.avoids(j, idx, r.m) {
 			continue
 		}
@@ -300,22 +312,29 @@
 
 // assign makes the attempt; it is sent with the next answer or order.
 func (c *Core) assign(j *job, idx int, r *room) {
-	c.attempts++
-	s := c.own.shares[j.share]
-	key := slotKey{job: j.id, idx: idx, attempt: s.mark<<32 | c.attempts&0xffffffff}
-	sl := &slot{key: key, job: j, idx: idx, m: r.m, state: slotAssigned, owned: true, since: c.now, haltAt: -micros.Never}
-	r.m.v.slots[key] = sl
+	sl := c.newAttempt(j, idx, r)
+	sl.owned = true
 	r.m.v.idleAt = c.now
 	j.run.active[idx] = sl
 	if j.run.firstRun == 0 {
 		j.run.firstRun = c.now
 	}
+	c.log(Debug, "task placed", "task", j.id, "index", idx, "machine", r.m.id, "image", r.m.v.images[j.sub.Image], "expect_s", c.runs.expect(j.sub).Seconds())
+}
+
+// newAttempt puts an attempt on a machine, to be sent, and takes its room.
+func (c *Core) newAttempt(j *job, idx int, r *room) *slot {
+	c.attempts++
+	mark := c.own.shares[r.m.rec.Share].mark
+	key := slotKey{job: j.id, idx: idx, attempt: mark<<32 | c.attempts&0xffffffff}
+	sl := &slot{key: key, job: j, idx: idx, m: r.m, state: slotAssigned, since: c.now, haltAt: -micros.Never}
+	r.m.v.slots[key] = sl
 	r.cpus -= j.sub.CPUs
 	r.gpus -= j.sub.GPUs
 	r.mem -= j.sub.MemGB
 	r.tasks++
 	r.fetching[j.sub.Image] = true
-	c.log(Debug, "task placed", "task", key.job, "index", idx, "machine", r.m.id, "image", r.m.v.images[j.sub.Image], "expect_s", c.runs.expect(j.sub).Seconds())
+	return sl
 }
 
 // makeRoom stops tasks of lower priority for a job that found no room.
@@ -408,7 +427,6 @@
 		}
 	}
 	for _, sl := range bestSet {
-		sl.preempt = true
 		c.stop(sl, c.haltFor(sl, j))
 		best.soonCPUs += sl.job.sub.CPUs
 		best.soonGPUs += sl.job.sub.GPUs
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -94,7 +94,6 @@
 	at := c.now + micros.FromSeconds(*rep.NoticeS)
 	if v.takenAt == 0 {
 		c.log(Info, "machine will be taken away", "machine", m.id, "seconds", *rep.NoticeS)
-		c.fleet.dirty = true
 	}
 	v.takenAt = at
 	c.drain(m)
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -51,7 +51,7 @@
 
 // prefetch fetches urgent images on machines that lack them: first on empty
 // ones, before they are filled, later wherever there is room.
-func (c *Core) prefetch(s *share, rooms []*room, used []usage, empty bool) {
+func (c *Core) prefetch(rooms []*room, used []usage, empty bool) {
 	if !c.canAnswer() {
 		return
 	}
@@ -64,27 +64,18 @@
 		team := c.cfg.Teams[w.job.team]
 		for _, r := range rooms {
 			mt := c.types[r.m.rec.Type]
-			if !r.usable || r.m.v.images[sub.Image] || r.fetching[sub.Image] || empty && r.tasks > 0 ||
+			if !r.fits(sub) || r.m.v.images[sub.Image] || r.fetching[sub.Image] || empty && r.tasks > 0 ||
 				mt.FetchGBPerS <= 0 || micros.FromSeconds(sub.ImageGB/mt.FetchGBPerS) < within/4 ||
-				r.cpus+eps < sub.CPUs || r.gpus+eps < sub.GPUs || r.mem+eps < sub.MemGB ||
 				!c.allowed(w.job, r.m, nil) || r.m.v.warmNext > c.now {
 				continue
 			}
 			u := &used[w.job.team]
-			if team.CPUsMax > 0 && u.cpus+sub.CPUs > team.CPUsMax+eps || team.GPUsMax > 0 && u.gpus+sub.GPUs > team.GPUsMax+eps {
+			if u.over(team, sub) {
 				continue
 			}
-			c.attempts++
-			key := slotKey{job: w.job.id, idx: 0, attempt: s.mark<<32 | c.attempts&0xffffffff}
-			r.m.v.slots[key] = &slot{key: key, job: w.job, m: r.m, state: slotAssigned, warm: true, since: c.now, haltAt: -micros.Never}
+			c.newAttempt(w.job, 0, r).warm = true
 			r.m.v.warmNext = c.now + 10*micros.Second
-			r.cpus -= sub.CPUs
-			r.gpus -= sub.GPUs
-			r.mem -= sub.MemGB
-			r.tasks++
-			r.fetching[sub.Image] = true
-			u.cpus += sub.CPUs
-			u.gpus += sub.GPUs
+			u.add(sub)
 		}
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,7 +17,6 @@
 	Ask     *Ask     `msgpack:"a,omitempty"`
 	Hint    *Hint    `msgpack:"h,omitempty"`
 	Release *Release `msgpack:"r,omitempty"`
-	Submit  []byte   `msgpack:"b,omitempty"` // a submission's CBOR body
 }
 
 // Response answers a Request.
@@ -31,24 +30,21 @@
 // Status is what a controller tells the others about itself, regularly and
 // after it has taken a share.
 type Status struct {
-	Incarnation uint64   `msgpack:"i"`
-	UptimeUS    int64    `msgpack:"u"`
-	StateOK     bool     `msgpack:"k"`           // the state service answered it of late
-	Deaf        bool     `msgpack:"e,omitempty"` // it does not hear the workers
-	Owns        []Owned  `msgpack:"o,omitempty"`
-	Leader      uint64   `msgpack:"l,omitempty"` // mark of the leader key, if it leads
-	Demand      []Demand `msgpack:"d,omitempty"`
+	UptimeUS int64    `msgpack:"u"`
+	StateOK  bool     `msgpack:"k"`           // the state service answered it of late
+	Deaf     bool     `msgpack:"e,omitempty"` // it does not hear the workers
+	Owns     []Owned  `msgpack:"o,omitempty"`
+	Demand   []Demand `msgpack:"d,omitempty"`
 }
 
 // StatusAck answers a Status. Quiet lists the shares of the Status for which
 // the answering node gives no commands and will give none.
 type StatusAck struct {
-	Incarnation uint64   `msgpack:"i"`
-	UptimeUS    int64    `msgpack:"u"`
-	StateOK     bool     `msgpack:"k"`
-	Deaf        bool     `msgpack:"e,omitempty"`
-	Quiet       []int    `msgpack:"q,omitempty"`
-	Heard       []string `msgpack:"h,omitempty"` // machines that tried the answering node of late
+	UptimeUS int64    `msgpack:"u"`
+	StateOK  bool     `msgpack:"k"`
+	Deaf     bool     `msgpack:"e,omitempty"`
+	Quiet    []int    `msgpack:"q,omitempty"`
+	Heard    []string `msgpack:"h,omitempty"` // machines that tried the answering node of late
 }
 
 // Owned names a share and the mark of its owner key.
