--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -105,8 +105,9 @@
 	// LeaseMS is the life of a controller's lease in the state service.
 	LeaseMS int64 `yaml:"lease_ms"`
 	// SilentReturnS is how long a machine may be silent before it is returned
-	// to the cloud; 0 leaves silent machines until their lease has run out.
-	SilentReturnS float64 `yaml:"silent_return_s"`
+	// to the cloud; 0 leaves silent machines until their lease has run out. Left
+	// out, it follows from the interval of reports.
+	SilentReturnS *float64 `yaml:"silent_return_s"`
 	// DrainHorizonS is the time in which the waiting work should be done: more
 	// machines are rented while it would take longer.
 	DrainHorizonS float64 `yaml:"drain_horizon_s"`
@@ -124,10 +125,9 @@
 func Defaults() Options {
 	return Options{
 		LeaseMS:       4000,
-		SilentReturnS: 14,
 		DrainHorizonS: 60,
 		IdleReturnS:   25,
-		MaxMachines:   1000,
+		MaxMachines:   10000,
 		MemoryShare:   0.6,
 		QuarantineS:   120,
 	}
@@ -318,7 +318,9 @@
 	}
 	c := &checker{file: name}
 	c.want(o.LeaseMS >= 1000 && o.LeaseMS <= 600_000, "lease_ms", o.LeaseMS, "1000 to 600000")
-	c.amount("silent_return_s", o.SilentReturnS)
+	if o.SilentReturnS != nil {
+		c.amount("silent_return_s", *o.SilentReturnS)
+	}
 	c.positive("drain_horizon_s", o.DrainHorizonS)
 	c.amount("idle_return_s", o.IdleReturnS)
 	c.want(o.MaxMachines >= 1 && o.MaxMachines <= 100_000, "max_machines", o.MaxMachines, "1 to 100000")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,10 +33,14 @@
 
 	StateRPS, WriteRPS float64 // the whole service's; the core keeps to its part
 	ValueBytes         int
+	TxnOps             int // changes in one transaction
 	CloudRPS           float64
 	ListLag            micros.Micros
 
-	SilentReturn micros.Micros // 0: never
+	// Asks bounds the requests to workers under way.
+	Asks int
+
+	SilentReturn micros.Micros // 0: never; below 0: derived from ReportEvery
 	DrainHorizon micros.Micros
 	IdleReturn   micros.Micros
 	Quarantine   micros.Micros
@@ -195,41 +199,46 @@
 	wake      micros.Micros
 	lastHouse micros.Micros
 
-	stateq stateQueue
-	own    ownership
-	ears   ears
-	jobs   jobTable
-	fleet  fleet
-	peers  map[string]*peerView
-	mach   map[string]*machine
-	types  map[string]wire.MachineType
-	index  typeIndex
-	runs   estimates
-	warm   []warmth
-	heard  map[string]micros.Micros // machines that reported here but belong elsewhere
+	stateq   stateQueue
+	own      ownership
+	ears     ears
+	jobs     jobTable
+	fleet    fleet
+	peers    map[string]*peerView
+	mach     map[string]*machine
+	batches  map[string]*batch
+	batchSeq uint64
+	orders   orderQueue
+	preempt  preempting
+	round    uint64 // of observe
+	scratch  []scored
+	types    map[string]wire.MachineType
+	index    typeIndex
+	runs     estimates
+	warm     []warmth
+	heard    map[string]micros.Micros // machines that reported here but belong elsewhere
 
 	teamOf   map[string]int
 	shareOf  []int // by team; nil when jobs are parted
 	attempts uint64
 	dirty    bool // placement has something to look at
 	schedAt  micros.Micros
-	// answering is the machine whose report is being answered.
-	answering *machine
 }
 
 // New makes a core. Equal seeds and inputs give equal effects.
 func New(cfg Config, seed uint64) *Core {
 	c := &Core{
-		cfg:    cfg,
-		bounds: NewBounds(cfg.Lease, cfg.WorkerLease, cfg.Cancel),
-		rng:    rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		calls:  map[uint64]func(Result){},
-		peers:  map[string]*peerView{},
-		mach:   map[string]*machine{},
-		types:  map[string]wire.MachineType{},
-		heard:  map[string]micros.Micros{},
-		teamOf: map[string]int{},
-		began:  -1,
+		cfg:     cfg,
+		bounds:  NewBounds(cfg.Lease, cfg.WorkerLease, cfg.Cancel),
+		rng:     rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		calls:   map[uint64]func(Result){},
+		peers:   map[string]*peerView{},
+		mach:    map[string]*machine{},
+		batches: map[string]*batch{},
+		types:   map[string]wire.MachineType{},
+		heard:   map[string]micros.Micros{},
+		teamOf:  map[string]int{},
+		began:   -1,
 	}
 	nodes := float64(len(cfg.Peers) + 1)
 	c.stateq.requests = newBucket(cfg.StateRPS * 0.95 / nodes)
@@ -238,6 +247,7 @@
 		c.teamOf[t.Name] = i
 	}
 	c.shareOf = PartTeams(cfg.Teams, cfg.Shares)
+	c.orders.most = max(cfg.Asks, 8)
 	c.own.init(cfg.Shares)
 	c.jobs.init()
 	c.fleet.init(cfg)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -245,7 +245,10 @@
 			h := newHarness(t, func(c *Config) { c.Teams = []Team{{Name: "t", CPUsMax: 4}, {Name: "u"}}; c.Shares = 1 })
 			token := h.settle("vm-1")
 			if tc.unsettled {
-				h.put(wire.MachineKey("vm-9"), wire.MachineRecord{Share: 0, Addr: "vm-9", Type: "m", Zone: "a"})
+				// It stood on record when the share was claimed.
+				h.putMachines("m-1-1", "vm-9")
+				h.c.mach["vm-9"].v.doubt = true
+				h.c.touch(h.c.mach["vm-9"])
 			}
 			h.submit(jobOf("job-000001", 6))
 			h.dropCalls()
@@ -263,8 +266,7 @@
 	h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"}; c.Shares = 1 })
 	// n-1 held the share; its job and machine stand on record.
 	old := jobOf("job-000001", 1)
-	h.put(wire.MachineKey("vm-1"), wire.MachineRecord{Share: 0, Addr: "vm-1", Type: "m", Zone: "a"})
-	h.put(wire.MachineKey("vm-2"), wire.MachineRecord{Share: 0, Addr: "vm-2", Type: "m", Zone: "a"})
+	h.putMachines("l-1-1", "vm-1", "vm-2")
 	h.put(wire.JobKey("job-000001"), wire.JobRecord{Submission: &old, State: wire.StatePending, Tasks: 1})
 	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
 	h.run(3 * sec)
@@ -517,7 +519,7 @@
 			shown := token
 			if tc.raised {
 				shown++ // as after a rewrite of the machine's record
-				h.c.mach["vm-1"].mark = shown
+				h.c.mach["vm-1"].batch.mark = shown
 			}
 			_, body := h.checkin(report("vm-1", 1, 20, shown, wire.TaskReport{Task: "job-000001/0", Attempt: attempt, State: wire.TaskExited, Why: tc.why}))
 			cleared := false
--- /dev/null
+++ b/internal/core/demand.go
@@ -0,0 +1,159 @@
+package core
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+)
+
+// maxBusyRows bounds how many busy machines of a share the leader hears of: it
+// moves and empties only those that are soon or nearly empty. maxOtherRows
+// bounds each of the other states.
+const (
+	maxBusyRows  = 40
+	maxOtherRows = 300
+)
+
+// demands tells what the shares of this node want.
+func (c *Core) demands() []peer.Demand {
+	var out []peer.Demand
+	for _, s := range c.own.shares {
+		if c.acting(s.id) != nil {
+			out = append(out, c.demandOf(s))
+		}
+	}
+	return out
+}
+
+func (c *Core) demandOf(s *share) peer.Demand {
+	c.refresh(s)
+	d := peer.Demand{Share: s.id, ArrivalCPUs: s.arrivals.rate(c.now)}
+	for _, j := range c.queue(s) {
+		if j.within && j.run != nil {
+			d.Guarantee += float64(j.sub.Tasks-j.run.count) * j.sub.CPUs
+		}
+	}
+	var busy []peer.Machine
+	others := map[int]int{}
+	for _, m := range s.machines {
+		v, mt := m.v, c.types[m.rec.Type]
+		if v == nil || m.returned {
+			continue
+		}
+		used := min(v.sum.cpus, mt.CPUs)
+		row := peer.Machine{ID: m.id, State: c.stateOf(m), Busy: used, Saves: true}
+		switch row.State {
+		case peer.MachineBooting:
+			d.Booting += mt.CPUs
+			continue
+		case peer.MachineIdle:
+			row.SinceUS = int64(c.now - v.idleAt)
+			d.CPUs += mt.CPUs
+		case peer.MachineSilent:
+			row.SinceUS = int64(c.unheard(v))
+			if r := &v.reach; r.unshown > 0 {
+				row.SinceUS = max(row.SinceUS, int64(c.now-r.since))
+			}
+		case peer.MachineBusy:
+			d.CPUs += mt.CPUs
+			d.Busy += used
+		}
+		for _, sl := range v.list {
+			if sl.job == nil || sl.state == slotExited {
+				continue
+			}
+			if !sl.owned || sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning {
+				row.Saves = false
+			}
+			left := c.runs.expect(sl.job.sub)
+			if sl.runAt > 0 {
+				left = max(left-(c.now-sl.runAt), left/10)
+			}
+			row.LeftUS = max(row.LeftUS, int64(left))
+			d.RunLeftUS += int64(float64(left) * sl.job.sub.CPUs)
+		}
+		if row.State == peer.MachineBusy {
+			busy = append(busy, row)
+		} else if others[row.State]++; others[row.State] <= maxOtherRows {
+			d.Machines = append(d.Machines, row)
+		}
+	}
+	slices.SortFunc(busy, func(a, b peer.Machine) int { return cmp.Or(cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID)) })
+	d.Machines = append(d.Machines, busy[:min(len(busy), maxBusyRows)]...)
+	d.All = len(s.machines)
+	d.Groups = c.groups(s)
+	return d
+}
+
+// stateOf says how a machine counts for the leader.
+func (c *Core) stateOf(m *machine) int {
+	v := m.v
+	switch {
+	case v.fresh && c.now-v.since < 4*micros.Minute:
+		return peer.MachineBooting
+	case !v.known && v.settled || v.gone || c.unheard(v) > c.silence() || c.outOfReach(m):
+		return peer.MachineSilent
+	case v.sick && c.now < v.asideUntil || v.takenAt != 0 || c.slowness(m) > 0.4 && v.slowN > 3:
+		return peer.MachineBad
+	case v.leaving || c.now < v.goingTo:
+		return peer.MachineGoing
+	case v.settled && v.empty():
+		return peer.MachineIdle
+	}
+	return peer.MachineBusy
+}
+
+// groups gathers a share's waiting tasks by what they need. A team's tasks
+// beyond its limit are not counted: machines would not help them.
+func (c *Core) groups(s *share) []peer.Group {
+	type key struct {
+		zone, types string
+		spot        bool
+		cpus, gpus  float64
+		prio        int
+	}
+	at := map[key]int{}
+	var out []peer.Group
+	rooms := make([]float64, len(c.cfg.Teams))
+	for i, t := range c.cfg.Teams {
+		rooms[i] = math.Inf(1)
+		if t.CPUsMax > 0 {
+			rooms[i] = t.CPUsMax - s.used[i].cpus
+		}
+	}
+	for _, j := range c.queue(s) {
+		if j.run == nil || !j.run.ready || j.run.want != "" || j.run.probeAt != 0 {
+			continue
+		}
+		n := j.pending()
+		if n <= 0 {
+			continue
+		}
+		fit := n
+		if j.sub.CPUs > 0 {
+			if room := rooms[j.team] / j.sub.CPUs; room < float64(n) {
+				fit = max(int(room), 0)
+			}
+			rooms[j.team] -= float64(fit) * j.sub.CPUs
+		}
+		k := key{zone: j.sub.Zone, types: strings.Join(j.sub.Types, " "), spot: j.sub.Spot, cpus: j.sub.CPUs, gpus: j.sub.GPUs, prio: j.priority}
+		i, ok := at[k]
+		if !ok {
+			if len(out) >= 32 {
+				continue
+			}
+			i = len(out)
+			at[k] = i
+			out = append(out, peer.Group{Types: j.sub.Types, Any: j.sub.Types == nil, Zone: j.sub.Zone, Spot: j.sub.Spot,
+				CPUs: j.sub.CPUs, GPUs: j.sub.GPUs, MemGB: j.sub.MemGB, Priority: j.priority})
+		}
+		out[i].Waiting += fit
+		out[i].WorkUS += int64(n) * int64(c.runs.expect(j.sub))
+		out[i].MemGB = max(out[i].MemGB, j.sub.MemGB)
+	}
+	return out
+}
--- a/internal/core/ears.go
+++ b/internal/core/ears.go
@@ -31,24 +31,29 @@
 		return
 	}
 	silent, elsewhere, all := 0, 0, 0
-	for _, id := range sortedKeys(c.mach) {
-		m := c.mach[id]
-		if m.v == nil || c.acting(m.rec.Share) == nil {
-			continue
-		}
-		all++
-		if c.now-max(m.v.heard, m.v.since) <= c.silence() {
+	for _, s := range c.own.shares {
+		if c.acting(s.id) == nil {
 			continue
 		}
-		silent++
-		for _, label := range c.cfg.Peers {
-			if p := c.peers[label]; c.alive(p) && !p.deaf && p.heard[id] {
-				elsewhere++
-				break
+		for _, m := range s.machines {
+			if m.v == nil || m.v.fresh {
+				continue
+			}
+			all++
+			if c.unheard(m.v) <= c.silence() {
+				continue
+			}
+			silent++
+			for _, label := range c.cfg.Peers {
+				if p := c.peers[label]; c.alive(p) && !p.deaf && p.heard[m.id] {
+					elsewhere++
+					break
+				}
 			}
 		}
 	}
-	if silent < 2 || 2*silent <= all || 2*elsewhere <= silent {
+	// The others name a bounded number of those that they hear.
+	if silent < 2 || 2*silent <= all || 2*elsewhere <= min(silent, maxHeard) {
 		return
 	}
 	c.log(Info, "workers are out of reach here but not elsewhere, letting duties go", "silent", silent, "machines", all, "elsewhere", elsewhere)
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -34,6 +34,8 @@
 	// lose swallows the answers of transactions that touch a key.
 	lose string
 	held []Call
+	// listed is what the cloud lists.
+	listed []wire.ListedMachine
 	// deafTo is a prefix whose watches bring nothing.
 	deafTo string
 }
@@ -42,7 +44,7 @@
 	cfg := Config{
 		Label: "n-0", Shares: 1, Teams: []Team{{Name: "t"}},
 		Lease: 4 * sec, ReportEvery: 2 * sec, WorkerLease: 10 * sec, Cancel: 20 * sec,
-		StateRPS: 1000, WriteRPS: 1000, ValueBytes: 8 << 10, CloudRPS: 100, ListLag: sec,
+		StateRPS: 1000, WriteRPS: 1000, ValueBytes: 8 << 10, TxnOps: 8, Asks: 8, CloudRPS: 100, ListLag: sec,
 		DrainHorizon: 30 * sec, IdleReturn: micros.Minute, Quarantine: 30 * sec, MaxMachines: 10,
 		Urgent: map[string]micros.Micros{},
 	}
@@ -115,7 +117,7 @@
 		case GetTypes:
 			result(200, &wire.MachineTypes{Types: []wire.MachineType{{Name: "m", CPUs: 4, MemGB: 8, FetchGBPerS: 1, Price: 1, SpotPrice: 0.5, BootS: 5, Zones: []string{"a", "b"}}}})
 		case ListMachines:
-			result(200, &wire.MachineList{})
+			result(200, &wire.MachineList{Machines: slices.Clone(h.listed)})
 		default:
 			result(503, NoCapacity("no capacity"))
 		}
@@ -224,11 +226,26 @@
 	return a.Status, body
 }
 
-// settle brings a machine into the fleet: its first report shows the token, the
-// second one carries it.
+// list has the cloud list a machine, and lets the leader look.
+func (h *harness) list(id string) {
+	h.listed = append(h.listed, wire.ListedMachine{ID: id, Addr: id, Type: "m", Zone: "a", State: wire.MachineRunning, AgeS: 1})
+	h.c.fleet.listNext, h.c.fleet.planNext = h.now, h.now+120*ms
+	h.run(400 * ms)
+}
+
+// putMachines records machines as another node would.
+func (h *harness) putMachines(name string, ids ...string) {
+	rec := wire.BatchRecord{Kinds: []wire.MachineKind{{Type: "m", Zone: "a"}}}
+	for _, id := range ids {
+		rec.Machines = append(rec.Machines, wire.BatchMachine{ID: id, Addr: id})
+	}
+	h.put(wire.BatchKey(0, name), rec)
+}
+
+// settle brings a machine into the fleet: the answer to its first report shows
+// the token, its second report carries it.
 func (h *harness) settle(id string) uint64 {
-	h.checkin(report(id, 1, 1, 0))
-	h.run(200 * ms)
+	h.list(id)
 	status, body := h.checkin(report(id, 1, 2, 0))
 	if status != 200 || body.Token == 0 {
 		h.t.Fatalf("report of %s answered %d with token %d", id, status, body.Token)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -24,6 +24,7 @@
 	due      micros.Micros // time of day
 	knownAt  micros.Micros
 	run      *run // set at the owner
+	within   bool // it fits into its team's guarantee; see markGuaranteed
 }
 
 // run is what the owner of a job keeps of it.
@@ -43,7 +44,8 @@
 	verDirty bool
 	verBusy  bool
 	verNext  micros.Micros
-	saved    bitset // tasks whose end is in a recorded Version
+	saved    bitset  // tasks whose end is in a recorded Version
+	ended    []*slot // exited tasks that wait for that
 
 	ending  bool // a transaction that ends the job was sent and not settled
 	want    string
@@ -55,6 +57,7 @@
 	probeAt  micros.Micros  // a job that fails everywhere is tried one task at a time
 	pause    micros.Micros
 	firstRun micros.Micros
+	lookAt   micros.Micros // not before then are others stopped for it again
 }
 
 type finalJob struct {
@@ -173,6 +176,7 @@
 		failed:  map[int]int{},
 		arrival: c.now,
 	}
+	s.queueStale = true
 	if j.run.fresh {
 		j.run.ready = true
 		s.arrivals.add(c.now, float64(j.sub.Tasks)*j.sub.CPUs*c.runs.expect(j.sub).Seconds())
@@ -192,6 +196,7 @@
 	}
 	waiters := j.run.waiters
 	j.run = nil
+	c.own.shares[j.share].queueStale = true
 	for _, w := range waiters {
 		c.later(func() { w(peer.Answer{Status: 503}) })
 	}
@@ -272,6 +277,15 @@
 	}
 }
 
+// awaitSave keeps an exited task until its end is in a recorded Version.
+func (c *Core) awaitSave(j *job, sl *slot) {
+	if r := j.run; r == nil || r.saved.has(sl.idx) {
+		sl.acted = true
+	} else {
+		r.ended = append(r.ended, sl)
+	}
+}
+
 // cancelJob records a cancellation and answers once it stands.
 func (c *Core) cancelJob(j *job, done func(peer.Answer)) {
 	if len(j.run.waiters) >= 64 {
@@ -377,17 +391,13 @@
 		c.later(func() { w(finalAnswer(f)) })
 	}
 	if f.state == wire.StateDone {
-		c.log(Info, "job done", "job", id, "class", j.sub.Class, "team", j.sub.Team, "tasks", f.tasks, "waited_s", (r.firstRun - r.arrival).Seconds(), "seconds", (c.now - r.arrival).Seconds())
+		c.log(Info, "job done", "job", id, "class", j.sub.Class, "team", j.sub.Team, "tasks", f.tasks, "waited_s", max(r.firstRun-r.arrival, 0).Seconds(), "seconds", (c.now - r.arrival).Seconds())
 	}
 	for _, idx := range slices.Sorted(maps.Keys(r.active)) {
-		s := r.active[idx]
-		if s.state == slotAssigned {
-			c.freeSlot(s, false)
-			continue
-		}
-		s.halt = haltHard
+		c.stop(r.active[idx], haltHard)
 	}
 	j.run = nil
+	c.own.shares[j.share].queueStale = true
 	c.dirty = true
 }
 
@@ -427,7 +437,7 @@
 type estimates struct{ byClass map[string]*classRuns }
 
 // classRuns is the mean of log(run time / estimate), with how much it is worth.
-type classRuns struct{ logRatio, weight float64 }
+type classRuns struct{ logRatio, weight, factor float64 }
 
 func (e *estimates) init() { e.byClass = map[string]*classRuns{} }
 
@@ -435,7 +445,7 @@
 func (e *estimates) expect(s *wire.Submission) micros.Micros {
 	base := max(s.EstimateS, 0.1)
 	if cr := e.byClass[s.Class]; cr != nil {
-		base *= math.Exp(cr.logRatio * cr.weight / (cr.weight + 4))
+		base *= cr.factor
 	}
 	return micros.FromSeconds(base)
 }
@@ -457,6 +467,7 @@
 	ratio = max(-2, min(2, ratio))
 	cr.weight = min(cr.weight+0.2, 40)
 	cr.logRatio += (ratio - cr.logRatio) / max(cr.weight*5, 1)
+	cr.factor = math.Exp(cr.logRatio * cr.weight / (cr.weight + 4))
 }
 
 // rateMeter measures work that arrives, decaying over about a minute.
--- /dev/null
+++ b/internal/core/level.go
@@ -0,0 +1,298 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+)
+
+// going is a machine on its way to another share, or out.
+type going struct {
+	share  int
+	retire bool
+	until  micros.Micros
+}
+
+// releaseRequest is one machine that its owner is asked to let go.
+type releaseRequest struct {
+	machine string
+	peer.Release
+}
+
+// askRelease notes that a machine's owner is to be asked to let it go.
+func (c *Core) askRelease(id string, r peer.Release) {
+	f := &c.fleet
+	m := c.mach[id]
+	if m == nil || f.asked[id] != 0 && c.now < f.asked[id]+2*micros.Second {
+		return
+	}
+	f.asked[id] = c.now
+	if r.Retire {
+		r.Share = m.rec.Share
+	}
+	f.requests = append(f.requests, releaseRequest{id, r})
+}
+
+// sendReleases asks the owners, those alike in one message.
+func (c *Core) sendReleases() {
+	type key struct {
+		from, to            int
+		retire, drain, save bool
+	}
+	byKey := map[key]*peer.Release{}
+	var keys []key
+	for _, q := range c.fleet.requests {
+		m := c.mach[q.machine]
+		if m == nil {
+			continue
+		}
+		k := key{m.rec.Share, q.Share, q.Retire, q.Drain, q.Save}
+		r := byKey[k]
+		if r == nil {
+			r = &peer.Release{Retire: q.Retire, Drain: q.Drain, Save: q.Save, Share: q.Share}
+			byKey[k] = r
+			keys = append(keys, k)
+		}
+		r.Machines = append(r.Machines, q.machine)
+	}
+	c.fleet.requests = nil
+	for _, k := range keys {
+		r, s := byKey[k], c.own.shares[k.from]
+		if c.acting(s.id) != nil {
+			c.release(*r)
+		} else if p := c.peers[s.rec.Label]; p != nil {
+			c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Release: r}, Timeout: micros.Second}, func(Result) {})
+		}
+	}
+}
+
+// level moves machines to the shares whose queues wait: idle ones at once, busy
+// ones as they empty, where a share has more than its part of the fleet.
+func (c *Core) level(demand map[int]*peer.Demand) {
+	total := 0.0
+	for _, d := range demand {
+		total += d.CPUs
+	}
+	part := c.parts(demand, total)
+	has := map[int]float64{}
+	lack := map[int]float64{}
+	for id, d := range demand {
+		has[id] = d.CPUs
+		lack[id] = max(0, waitingCPUs(d)-(d.CPUs-d.Busy))
+	}
+	type row struct {
+		peer.Machine
+		from int
+		cpus float64
+	}
+	var rows []row
+	leaving := 0
+	for _, id := range shareIDs(demand) {
+		for _, m := range demand[id].Machines {
+			rec := c.mach[m.ID]
+			if rec == nil {
+				continue
+			}
+			cpus := c.types[rec.rec.Type].CPUs
+			switch {
+			case m.State == peer.MachineGoing:
+				// On its way out already: it counts where it goes.
+				to, ok := c.fleet.goingTo[m.ID]
+				switch {
+				case !ok || c.now >= to.until:
+				case !to.retire && waitingCPUs(demand[id]) > 0 && has[id] < part[id]:
+					delete(c.fleet.goingTo, m.ID) // its share needs it again
+				case to.retire:
+					c.askRelease(m.ID, peer.Release{Retire: true, Drain: true})
+				default:
+					leaving++
+					has[to.share] += cpus
+					lack[to.share] = max(0, lack[to.share]-cpus)
+					c.askRelease(m.ID, peer.Release{Share: to.share, Drain: true})
+				}
+			case m.State == peer.MachineIdle || m.State == peer.MachineBusy:
+				rows = append(rows, row{m, id, cpus})
+			}
+		}
+	}
+	slices.SortStableFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID))
+	})
+	// Where nothing waits, what is free may be drained without loss.
+	spare := map[int]float64{}
+	for id, d := range demand {
+		if waitingCPUs(d) == 0 {
+			spare[id] = (d.CPUs - d.Busy) - d.CPUs/20
+		}
+	}
+	for _, r := range rows {
+		idle := r.State == peer.MachineIdle
+		unused := r.cpus - r.Busy
+		to, most := -1, 0.5
+		for _, id := range shareIDs(demand) {
+			if id == r.from || !c.useful(demand[id], c.mach[r.ID]) {
+				continue
+			}
+			gap := part[id] - has[id]
+			if idle {
+				gap = max(gap, 0) + 0.01 // any queue is better than none
+			}
+			if v := min(lack[id], gap); v > most || idle && lack[id] > 0.5 && to < 0 {
+				to, most = id, v
+			}
+		}
+		own := demand[r.from]
+		switch {
+		case to < 0:
+			continue
+		case idle && waitingCPUs(own) > 0 && c.useful(own, c.mach[r.ID]):
+			continue // its own share is about to use it
+		case !idle && (most < r.cpus/2 || has[r.from]-part[r.from] < r.cpus/2):
+			continue
+		case !idle && spare[r.from] >= unused && unused > 0:
+			spare[r.from] -= unused
+		case !idle && (r.LeftUS > int64(15*micros.Second) || leaving >= 2):
+			continue // a machine that empties slowly stands half used meanwhile
+		case !idle:
+			leaving++
+		}
+		has[r.from] -= r.cpus
+		has[to] += r.cpus
+		lack[to] -= r.cpus
+		if !idle {
+			c.fleet.goingTo[r.ID] = going{share: to, until: c.now + 45*micros.Second}
+		}
+		c.askRelease(r.ID, peer.Release{Share: to, Drain: !idle})
+	}
+}
+
+// useful tells whether a share's waiting tasks could use a machine.
+func (c *Core) useful(d *peer.Demand, m *machine) bool {
+	for _, g := range d.Groups {
+		if g.Waiting > 0 && c.hosts(g, m.rec.Type, m.rec.Zone, m.rec.Spot) {
+			return true
+		}
+	}
+	return false
+}
+
+// returnIdle returns machines that idle, the dearest first, as long as there is
+// more than is needed. pressed: the fleet may not grow, so that an idle machine
+// of no use keeps out one that is of use.
+func (c *Core) returnIdle(demand map[int]*peer.Demand, w want, pressed bool) {
+	type idle struct {
+		id          string
+		cpus, price float64
+		since       micros.Micros
+	}
+	var list []idle
+	for _, d := range demand {
+		for _, m := range d.Machines {
+			rec := c.mach[m.ID]
+			if m.State != peer.MachineIdle || rec == nil {
+				continue
+			}
+			mt := c.types[rec.rec.Type]
+			list = append(list, idle{m.ID, mt.CPUs, cpuPrice(mt, rec.rec.Spot), micros.Micros(m.SinceUS)})
+		}
+	}
+	slices.SortFunc(list, func(a, b idle) int {
+		return cmp.Or(-cmp.Compare(a.price, b.price), cmp.Compare(a.id, b.id))
+	})
+	lowest := c.lowestPrice()
+	reserve := c.reserve(w)
+	for _, i := range list {
+		wanted := max(c.need(w, max(i.price/lowest, 1)), min(w.parallel, w.have))
+		surplus := w.have - wanted
+		keep := c.cfg.IdleReturn
+		if surplus-i.cpus >= reserve {
+			keep = min(keep, 2*micros.Second)
+		}
+		if surplus >= i.cpus && i.since >= keep || pressed && i.since >= 5*micros.Second {
+			w.have -= i.cpus
+			c.askRelease(i.id, peer.Release{Retire: true})
+		}
+	}
+}
+
+// consolidate empties one machine of a share where nothing waits, if all of its
+// tasks can save and go on in the room that the share's other machines have, and
+// if they would otherwise keep a mostly unused machine for long.
+func (c *Core) consolidate(demand map[int]*peer.Demand, w want) {
+	needed := max(w.parallel, c.reserve(w))
+	for _, id := range shareIDs(demand) {
+		d := demand[id]
+		if waitingCPUs(d) > 0 {
+			continue
+		}
+		var best *peer.Machine
+		most := 0.0
+		for i := range d.Machines {
+			m := &d.Machines[i]
+			rec := c.mach[m.ID]
+			if rec == nil {
+				continue
+			}
+			mt := c.types[rec.rec.Type]
+			if m.State == peer.MachineGoing {
+				best = nil
+				break // one at a time
+			}
+			if m.State != peer.MachineBusy || !m.Saves || m.LeftUS < int64(30*micros.Second) || 2*m.Busy > mt.CPUs ||
+				w.have-mt.CPUs < needed || d.CPUs-d.Busy-(mt.CPUs-m.Busy) < m.Busy {
+				continue
+			}
+			if gain := (mt.CPUs - m.Busy) * micros.Micros(m.LeftUS).Seconds(); gain > most {
+				best, most = m, gain
+			}
+		}
+		if best != nil && most > 200 {
+			c.log(Info, "emptying a mostly unused machine", "machine", best.ID, "share", id, "busy", best.Busy)
+			c.fleet.goingTo[best.ID] = going{retire: true, until: c.now + 30*micros.Second}
+			c.askRelease(best.ID, peer.Release{Retire: true, Drain: true, Save: true})
+		}
+	}
+}
+
+// reserve is how many CPUs are kept although nothing waits. Where tasks are
+// wanted started sooner than a machine boots, that is what arrives while one
+// would boot; elsewhere nothing.
+func (c *Core) reserve(w want) float64 {
+	boot := micros.Micros(0)
+	for _, mt := range c.types {
+		boot = max(boot, micros.FromSeconds(mt.BootS))
+	}
+	for _, within := range c.cfg.Urgent {
+		if within < boot/2 {
+			return max(w.arrival, w.parallel)
+		}
+	}
+	return 0
+}
+
+// replaceBad retires machines that fail or slow tasks once they are empty, and
+// silent ones if the operators want that.
+func (c *Core) replaceBad(demand map[int]*peer.Demand) {
+	var silent []string
+	for _, id := range shareIDs(demand) {
+		d := demand[id]
+		quiet := 0
+		for _, m := range d.Machines {
+			if m.State == peer.MachineSilent {
+				quiet++
+			}
+		}
+		for _, m := range d.Machines {
+			switch {
+			case m.State == peer.MachineBad:
+				c.askRelease(m.ID, peer.Release{Retire: true})
+			case m.State == peer.MachineSilent && c.cfg.SilentReturn != 0 && micros.Micros(m.SinceUS) > c.silentReturn() && 2*quiet <= d.All:
+				// If most are silent, the fault is rather the owner's network.
+				silent = append(silent, m.ID)
+			}
+		}
+	}
+	c.returnMachines(silent)
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"slices"
 
 	"garnethitch/internal/micros"
@@ -11,46 +10,88 @@
 
 // machine is a machine on record.
 type machine struct {
-	id   string
-	rec  wire.MachineRecord
-	mark uint64
-	v    *view // at the owner of its share
+	id    string
+	rec   machineRecord
+	batch *batch
+	// session is the last one that it showed to this node, in any role: a guess
+	// for the first order to it.
+	session uint64
+	// returned: the cloud has confirmed its return, so it never comes back.
+	returned bool
+	v        *view // at the owner of its share
+}
+
+// machineRecord is what the records say of a machine.
+type machineRecord struct {
+	Share            int
+	Retiring         bool
+	Addr, Type, Zone string
+	Spot             bool
 }
 
 // view is what the owner of a machine's share knows of it.
 type view struct {
 	settled   bool // its task list is complete, and no older command can still act
+	fresh     bool // nobody but this owner can have commanded it; ends with its first report
 	settledAt micros.Micros
-	gone      bool // it can hold no task any more; a new session brings it back
-	known     bool // session and seq are set
-	session   uint64
-	seq       uint64
-	token     uint64 // highest that the worker showed
-	heard     micros.Micros
-	answered  micros.Micros
-	since     micros.Micros
+	// doubt: it was on record when the share was claimed, and has neither been
+	// settled nor gone since: a former owner's tasks may be on it.
+	doubt    bool
+	gone     bool // it can hold no task any more; a new session brings it back
+	known    bool // session and seq are set
+	session  uint64
+	seq      uint64
+	token    uint64 // highest that the worker showed
+	heard    micros.Micros
+	answered micros.Micros
+	since    micros.Micros
+	reach    reach
 
 	slots   map[slotKey]*slot
+	list    []*slot // the same, in the order in which they came up
+	sum     tally
+	stale   bool // sum is to be counted again
+	hold    hold
 	images  map[string]bool
 	idleAt  micros.Micros // when it last had something on it
 	leaving bool          // it is being released
 	going   peer.Release  // it is to be released once it is empty,
 	goingTo micros.Micros // if that is asked for until then
 
-	orderBusy  bool
-	orderNext  micros.Micros
-	showNext   micros.Micros
-	unclear    uint64 // orders up to this token may still act; 0: none
-	warmNext   micros.Micros
-	raiseBusy  bool
-	raiseNext  micros.Micros
-	takenAt    micros.Micros // the cloud takes it away then; 0: no notice
-	failJobs   map[string]int
-	asideUntil micros.Micros
-	sick       bool
-	slowSum    float64
-	slowN      float64
-	restUntil  micros.Micros // after a disagreement about room
+	orderBusy   bool
+	orderQueued bool
+	showBusy    bool
+	orderNext   micros.Micros
+	showNext    micros.Micros
+	unclear     uint64 // orders up to this token may still act; 0: none
+	warmNext    micros.Micros
+	takenAt     micros.Micros // the cloud takes it away then; 0: no notice
+	failJobs    map[string]int
+	asideUntil  micros.Micros
+	sick        bool
+	slowSum     float64
+	slowN       float64
+	restUntil   micros.Micros // after a disagreement about room
+}
+
+// tally is what the attempts on a machine take, and what is to be done about
+// them. It is counted again only after something has changed there.
+type tally struct {
+	cpus, gpus, mem float64
+	// soon is what tasks being stopped will leave.
+	soonCPUs, soonGPUs, soonMem float64
+	tasks                       int // not exited
+	assigned, stopping          int
+	exited                      int
+	stray                       bool // an attempt whose job is not known
+	used                        []usage
+}
+
+// hold keeps room on a machine for a job for which others were stopped there.
+type hold struct {
+	job             *job
+	cpus, gpus, mem float64
+	until           micros.Micros
 }
 
 type slotKey struct {
@@ -89,7 +130,8 @@
 	m       *machine
 	state   slotState
 	sentSeq uint64
-	owned   bool // it stands in job.run.active
+	listed  uint64 // the round of observe that saw it last
+	owned   bool   // it stands in job.run.active
 	since   micros.Micros
 	runAt   micros.Micros // when it was first seen running; 0: not yet
 	halt    int
@@ -112,7 +154,7 @@
 
 // empty: nothing on the machine matters any more.
 func (v *view) empty() bool {
-	for _, sl := range v.slots {
+	for _, sl := range v.list {
 		if sl.state != slotExited || !sl.acted {
 			return false
 		}
@@ -124,46 +166,55 @@
 	return &view{
 		slots: map[slotKey]*slot{}, images: map[string]bool{}, failJobs: map[string]int{},
 		heard: -micros.Never, answered: -micros.Never, settledAt: -micros.Never,
-		since: c.now, idleAt: c.now,
+		since: c.now, idleAt: c.now, stale: true,
 	}
 }
 
-// setMachine takes a machine's record.
-func (c *Core) setMachine(id string, rec wire.MachineRecord, mark uint64) {
-	m := c.mach[id]
-	if m == nil {
-		m = &machine{id: id}
-		c.mach[id] = m
-	} else if mark <= m.mark {
-		return
-	}
-	moved := m.mark != 0 && m.rec.Share != rec.Share || rec.Retiring
-	m.rec, m.mark = rec, mark
-	if moved {
-		if m.v != nil && !m.v.empty() {
-			c.log(Error, "machine moved with tasks on it", "machine", id, "slots", len(m.v.slots))
-		}
-		m.v = nil
+// setView begins or ends this node's care for a machine.
+func (c *Core) setView(m *machine, v *view) {
+	if m.v != nil {
+		m.v.stale = true // so that it is not put on the list of changes again
 	}
-	if s := c.own.shares[rec.Share]; s.active && m.v == nil && !rec.Retiring {
-		m.v = c.newView()
-		c.settleMachine(s, m)
+	m.v = v
+	s := c.own.shares[m.rec.Share]
+	s.recount = true
+}
+
+// touch notes that something about a machine's attempts has changed.
+func (c *Core) touch(m *machine) {
+	if v := m.v; v != nil && !v.stale {
+		v.stale = true
+		s := c.own.shares[m.rec.Share]
+		s.touched = append(s.touched, m)
 	}
-	c.dirty = true
 }
 
-// dropMachine takes notice that a machine is gone, and all on it.
-func (c *Core) dropMachine(m *machine) {
-	if m.v != nil {
-		c.freeAll(m, "machine gone", true)
-		m.v = nil
+// addSlot puts an attempt on a machine's list.
+func (c *Core) addSlot(sl *slot) {
+	v := sl.m.v
+	v.slots[sl.key] = sl
+	v.list = append(v.list, sl)
+	c.touch(sl.m)
+}
+
+// dropSlot takes it off again.
+func (c *Core) dropSlot(sl *slot) {
+	v := sl.m.v
+	if v == nil || v.slots[sl.key] != sl {
+		return
 	}
-	delete(c.mach, m.id)
-	c.dirty = true
+	delete(v.slots, sl.key)
+	if i := slices.Index(v.list, sl); i >= 0 {
+		v.list = slices.Delete(v.list, i, i+1)
+	}
+	c.touch(sl.m)
 }
 
+// each gives a machine's attempts; they may be dropped meanwhile.
+func (v *view) each() []*slot { return slices.Clone(v.list) }
+
 // token is what entitles this node to command a machine of its share.
-func (c *Core) token(s *share, m *machine) uint64 { return max(s.mark, m.mark) }
+func (c *Core) token(s *share, m *machine) uint64 { return max(s.mark, m.batch.mark) }
 
 // checkin answers a worker's report.
 func (c *Core) checkin(in Checkin) {
@@ -184,23 +235,27 @@
 		return
 	}
 	v := m.v
-	if v.known && !newer(rep, v) || rep.Token > c.token(s, m) {
+	if m.returned || v.known && !newer(rep, v) || rep.Token > c.token(s, m) {
 		c.answer(in.Reply, 503, nil, 0)
 		return
 	}
+	c.noteReach(m, rep)
 	c.observe(s, m, rep, true)
+	if c.outOfReach(m) {
+		// What it says counts; what it is told does not arrive. No answer renews its
+		// lease by chance while we count on the end of that.
+		c.answer(in.Reply, 503, nil, 0)
+		return
+	}
 	if v.settled {
-		c.dirty = true
-		c.schedAt = c.now
-		c.answering = m // what it is to do goes into the answer, not into an order
-		c.place()
-		c.answering = nil
+		c.placeOn(s, m) // what it is to do goes into the answer, not into an order
 	}
 	commands := c.commands(m, true)
 	v.answered = c.now
+	v.reach.answered(c.token(s, m), v.token, commands)
 	c.answer(in.Reply, 200, wire.ReportAnswer{Token: c.token(s, m), Commands: commands}, 0)
-	if !v.settled && !v.orderBusy {
-		c.sendOrder(s, m, []wire.Command{}) // shows our token at once
+	if !v.settled {
+		c.settleMachine(s, m) // shows our token at once
 	}
 }
 
@@ -231,7 +286,7 @@
 // request. It must come from the machine's owner only.
 func (c *Core) observe(s *share, m *machine, rep *wire.Report, checkin bool) {
 	v := m.v
-	if v.known && !newer(rep, v) {
+	if m.returned || v.known && !newer(rep, v) {
 		return // its task list is older than what we know
 	}
 	if v.known && rep.Session > v.session {
@@ -242,7 +297,15 @@
 		v.images = map[string]bool{}
 		v.settled = false
 	}
+	if v.fresh {
+		// It must be as new as it looks: a token on it would be another owner's.
+		v.fresh = false
+		v.settled = v.settled && (rep.Token == 0 || rep.Token >= c.token(s, m))
+		v.settledAt = c.now
+		c.dirty = true
+	}
 	v.known, v.session, v.seq, v.heard = true, rep.Session, rep.Seq, c.now
+	m.session = rep.Session
 	v.token = max(v.token, rep.Token)
 	c.noteNotice(m, rep)
 	if rep.Addr != "" {
@@ -254,18 +317,21 @@
 		}
 		// The worker has seen a token of this ownership: no older command acts.
 		v.settled, v.settledAt = true, c.now
-		v.gone = false
+		v.gone, v.doubt = false, false
+		c.dirty = true
+		c.touch(m)
 		c.log(Debug, "machine settled", "machine", m.id, "tasks", len(rep.Tasks))
 	}
 	if v.unclear != 0 && rep.Token > v.unclear {
 		v.unclear = 0 // unanswered orders are void now; what they did is in this report
-		for _, sl := range v.sorted() {
+		for _, sl := range v.list {
 			if sl.state == slotUnclear {
 				sl.state, sl.sentSeq = slotSent, 0
 			}
 		}
+		c.dirty = true
 	}
-	listed := make(map[slotKey]bool, len(rep.Tasks))
+	c.round++
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
 		id, idx, err := wire.ParseTask(t.Task)
@@ -273,19 +339,21 @@
 			continue
 		}
 		key := slotKey{job: id, idx: idx, attempt: t.Attempt}
-		listed[key] = true
 		sl := v.slots[key]
 		if sl == nil {
-			if len(v.slots) > 4000 {
+			if len(v.list) > 4000 {
 				continue
 			}
 			sl = &slot{key: key, idx: idx, m: m, since: c.now, haltAt: -micros.Never}
-			v.slots[key] = sl
+			c.addSlot(sl)
 		}
+		sl.listed = c.round
 		c.update(sl, t)
 	}
-	for _, sl := range v.sorted() {
-		if listed[sl.key] {
+	adopt := false
+	for _, sl := range v.each() {
+		if sl.listed == c.round {
+			adopt = adopt || !sl.owned && !sl.acted
 			continue
 		}
 		switch sl.state {
@@ -296,22 +364,28 @@
 				c.freeSlot(sl, false) // the answer that carried it was dropped
 			}
 		case slotExited:
-			delete(v.slots, sl.key)
+			c.dropSlot(sl)
 		default:
 			c.log(Info, "task vanished from its machine", "task", wire.TaskName(sl.key.job, sl.idx), "machine", m.id)
 			c.freeSlot(sl, true)
 		}
 	}
-	c.adopt(m)
+	if adopt {
+		c.adopt(m)
+	}
 	if v.busy() {
 		v.idleAt = c.now
 	}
-	c.dirty = true
 }
 
 // update takes one task's state from a report.
 func (c *Core) update(sl *slot, t *wire.TaskReport) {
 	was := sl.state
+	defer func() {
+		if sl.state != was {
+			c.touch(sl.m)
+		}
+	}()
 	switch t.State {
 	case wire.TaskFetching:
 		sl.state = slotFetching
@@ -353,7 +427,7 @@
 // adopt ties tasks found on a machine to their jobs, or stops what should not
 // be there.
 func (c *Core) adopt(m *machine) {
-	for _, sl := range m.v.sorted() {
+	for _, sl := range m.v.each() {
 		if sl.owned || sl.state < slotFetching {
 			continue
 		}
@@ -365,7 +439,7 @@
 			if sl.state == slotExited {
 				sl.acted = true
 			} else {
-				sl.halt = haltHard
+				c.stop(sl, haltHard)
 			}
 			continue
 		}
@@ -374,11 +448,15 @@
 			continue // the watch may yet bring it
 		}
 		if j.share != m.rec.Share || sl.idx >= j.sub.Tasks {
-			sl.job, sl.halt = j, haltHard
+			sl.job = j
+			c.stop(sl, haltHard)
 			sl.acted = sl.state == slotExited
 			continue
 		}
-		sl.job = j
+		if sl.job != j {
+			sl.job = j
+			c.touch(m)
+		}
 		r := j.run
 		if r == nil || !r.ready {
 			continue
@@ -389,7 +467,7 @@
 			}
 			if sl.why == wire.WhyDone {
 				c.taskDone(j, sl.idx, sl)
-				sl.acted = j.run == nil || j.run.saved.has(sl.idx)
+				c.awaitSave(j, sl)
 			} else {
 				sl.acted = true
 			}
@@ -398,7 +476,7 @@
 		if other := r.active[sl.idx]; other != nil || r.done.has(sl.idx) {
 			if other != sl && sl.halt != haltHard {
 				c.log(Info, "surplus attempt stopped", "task", wire.TaskName(j.id, sl.idx), "machine", m.id)
-				sl.halt = haltHard
+				c.stop(sl, haltHard)
 			}
 			continue
 		}
@@ -408,15 +486,15 @@
 			m.v.images[j.sub.Image] = true
 		}
 		if r.want == wire.StateCancelled {
-			sl.halt = haltHard
+			c.stop(sl, haltHard)
 		}
 	}
 }
 
 // readopt looks at a share's machines again once Versions are known.
 func (c *Core) readopt(s *share) {
-	for _, id := range sortedKeys(c.mach) {
-		if m := c.mach[id]; m.v != nil && m.rec.Share == s.id && m.v.settled {
+	for _, m := range s.machines {
+		if m.v != nil && m.v.settled {
 			c.adopt(m)
 		}
 	}
@@ -425,7 +503,7 @@
 // freeSlot forgets an attempt that is on no machine (any more); its task waits
 // again unless it is done. lost says that work was under way.
 func (c *Core) freeSlot(sl *slot, lost bool) {
-	delete(sl.m.v.slots, sl.key)
+	c.dropSlot(sl)
 	c.requeue(sl, lost)
 }
 
@@ -444,7 +522,7 @@
 		j.requeue(sl.idx)
 		if lost {
 			c.noteRecovery(j)
-			c.log(Info, "task lost, restarting from the newest Version", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
+			c.log(Debug, "task lost, restarting from the newest Version", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
 		}
 	}
 	c.dirty = true
@@ -453,35 +531,24 @@
 // freeAll forgets what was on a machine. Unless ordersVoid, starts in direct
 // orders that were not answered are kept: a machine that hung may yet find them.
 func (c *Core) freeAll(m *machine, reason string, ordersVoid bool) {
-	if n := len(m.v.slots); n > 0 {
-		c.log(Info, "machine holds no tasks any more", "machine", m.id, "reason", reason, "slots", n)
+	if n := len(m.v.list); n > 0 {
+		c.log(Info, "machine holds no tasks any more, what ran there restarts from the newest Version", "machine", m.id, "reason", reason, "slots", n)
 	}
-	for _, sl := range m.v.sorted() {
+	for _, sl := range m.v.each() {
 		if !ordersVoid && (sl.state == slotOrdered || sl.state == slotUnclear) {
 			continue
 		}
 		if sl.state == slotExited {
-			delete(m.v.slots, sl.key) // dealt with when it was seen
+			c.dropSlot(sl) // dealt with when it was seen
 			continue
 		}
 		c.freeSlot(sl, sl.state >= slotFetching)
 	}
 }
 
-func (v *view) sorted() []*slot {
-	out := make([]*slot, 0, len(v.slots))
-	for _, sl := range v.slots {
-		out = append(out, sl)
-	}
-	slices.SortFunc(out, func(a, b *slot) int {
-		return cmp.Or(cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.idx, b.key.idx), cmp.Compare(a.key.attempt, b.key.attempt))
-	})
-	return out
-}
-
 // busy: something on it still runs or may.
 func (v *view) busy() bool {
-	for _, sl := range v.slots {
+	for _, sl := range v.list {
 		if sl.state != slotExited {
 			return true
 		}
@@ -505,7 +572,7 @@
 		if j.run != nil && j.run.active[sl.idx] == sl {
 			delete(j.run.active, sl.idx)
 			c.taskDone(j, sl.idx, sl)
-			sl.acted = j.run == nil || j.run.saved.has(sl.idx)
+			c.awaitSave(j, sl)
 		} else {
 			sl.acted = true
 		}
@@ -521,236 +588,10 @@
 	c.requeue(sl, false)
 }
 
-// commands gives what a machine is to do. Runs go out when forReport is set or
-// no direct order is unclear.
-func (c *Core) commands(m *machine, forReport bool) []wire.Command {
-	const most = 200
-	v := m.v
-	out := []wire.Command{}
-	slots := v.sorted()
-	if !v.settled {
-		return out
-	}
-	zero := 0.0
-	for _, sl := range slots {
-		if len(out) >= most {
-			return out
-		}
-		name := wire.TaskName(sl.key.job, sl.idx)
-		switch {
-		case sl.clearable():
-			out = append(out, wire.Command{Op: wire.OpForget, Task: name, Attempt: sl.key.attempt})
-		case sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited:
-			grace := &zero
-			if sl.halt == haltSave && sl.job != nil {
-				g := sl.job.sub.SaveS + 1
-				grace = &g
-			}
-			if sl.state == slotSaving && sl.halt == haltSave {
-				continue
-			}
-			sl.haltAt = c.now
-			out = append(out, wire.Command{Op: wire.OpStop, Task: name, Attempt: sl.key.attempt, GraceS: grace})
-		}
-	}
-	for _, sl := range slots {
-		if len(out) >= most || sl.state != slotAssigned {
-			continue
-		}
-		if forReport {
-			sl.state, sl.sentSeq = slotSent, v.seq
-		} else {
-			sl.state, sl.ordered = slotOrdered, c.token(c.own.shares[m.rec.Share], m)
-		}
-		sl.since = c.now
-		out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
-	}
-	return out
-}
-
-// wantsOrder: is there something that should not wait for the next report?
-func (c *Core) wantsOrder(v *view) bool {
-	for _, sl := range v.slots {
-		if sl.state == slotAssigned {
-			return true
-		}
-		if sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited && c.now-sl.haltAt >= micros.Second &&
-			!(sl.state == slotSaving && sl.halt == haltSave) {
-			return true
-		}
-	}
-	return false
-}
-
-// flushOrders sends direct orders where they are wanted.
-func (c *Core) flushOrders() {
-	for _, id := range sortedKeys(c.mach) {
-		m := c.mach[id]
-		v := m.v
-		if v == nil || m == c.answering || !v.settled || v.gone || v.orderBusy || v.unclear != 0 || len(v.slots) == 0 {
-			continue
-		}
-		s := c.acting(m.rec.Share)
-		if s == nil || !c.wantsOrder(v) {
-			continue
-		}
-		if c.now < v.orderNext {
-			c.wakeIn(v.orderNext - c.now)
-			continue
-		}
-		c.sendOrder(s, m, c.commands(m, false))
-	}
-}
-
-const orderTimeout = 1500 * micros.Millisecond
-
-// sendOrder sends commands directly. An unanswered order may still act late,
-// so its starts stay unclear until the token has been raised and seen.
-func (c *Core) sendOrder(s *share, m *machine, commands []wire.Command) {
-	v := m.v
-	v.orderBusy = true
-	token := c.token(s, m)
-	req := wire.Orders{Token: token, Session: v.session, Commands: commands}
-	c.call(Call{To: ToWorker, Addr: m.rec.Addr, Req: req, Timeout: orderTimeout}, func(r Result) {
-		if m.v != v {
-			return
-		}
-		v.orderBusy = false
-		rep, ok := r.Body.(*wire.Report)
-		ok = ok && rep.Machine == m.id
-		executed := ok && r.Status == 200
-		refused := r.NotSent || ok && r.Status == 409
-		for _, sl := range v.sorted() {
-			if sl.state != slotOrdered {
-				continue
-			}
-			switch {
-			case executed:
-				sl.state, sl.sentSeq = slotSent, rep.Seq
-			case refused:
-				c.freeSlot(sl, false)
-			default:
-				sl.state = slotUnclear
-				v.unclear = max(v.unclear, token)
-			}
-		}
-		if !executed {
-			v.orderNext = c.now + 2*micros.Second
-		}
-		if ok && c.acting(s.id) != nil && rep.Token <= c.token(s, m) {
-			c.observe(s, m, rep, false)
-		}
-		c.dirty = true
-	})
-}
-
-// settleMachine brings an unsettled machine to show its tasks under our token.
-func (c *Core) settleMachine(s *share, m *machine) {
-	v := m.v
-	if v.settled || v.orderBusy || c.now < v.showNext || m.rec.Addr == "" || c.acting(s.id) == nil {
-		return
-	}
-	v.showNext = c.now + micros.Second
-	v.orderBusy = true
-	c.call(Call{To: ToWorker, Addr: m.rec.Addr, Req: Show{}, Timeout: orderTimeout}, func(r Result) {
-		if m.v != v {
-			return
-		}
-		v.orderBusy = false
-		rep, ok := r.Body.(*wire.Report)
-		if !ok || r.Status != 200 || rep.Machine != m.id || c.acting(s.id) == nil || rep.Token > c.token(s, m) {
-			return
-		}
-		c.observe(s, m, rep, false)
-		if !v.settled {
-			c.sendOrder(s, m, []wire.Command{})
-		}
-	})
-}
-
-// raise rewrites a machine's record, so that its token rises above unanswered
-// orders.
-func (c *Core) raise(s *share, m *machine) {
-	v := m.v
-	v.raiseBusy = true
-	c.putMachine(s, m, m.rec, func(ok bool) {
-		if m.v != v {
-			return
-		}
-		v.raiseBusy = false
-		v.raiseNext = c.now + c.jitter(2*micros.Second)
-		if ok {
-			v.leaving = false // an unanswered release can't be applied any more
-		}
-	})
-}
-
-// putMachine rewrites a machine's record as the owner of its share.
-func (c *Core) putMachine(s *share, m *machine, rec wire.MachineRecord, done func(ok bool)) {
-	value, err := wire.Encode(rec)
-	if err != nil {
-		c.log(Error, "machine record not encoded", "machine", m.id, "error", err)
-		done(false)
-		return
-	}
-	key, mark := wire.MachineKey(m.id), m.mark
-	txn := wire.Txn{
-		If:   []wire.Condition{{Key: key, Version: mark}, {Key: ownerKey(s.id), Version: s.mark}},
-		Then: []wire.Change{{Put: key, Value: value}},
-	}
-	c.askState(prioFleet, txn, 1500*micros.Millisecond, func(r Result) {
-		body, ok := r.Body.(*wire.Revision)
-		if !ok || r.Status != 200 {
-			done(false) // if it was applied after all, the watch shows it
-			return
-		}
-		if c.mach[m.id] == m && m.mark < body.Revision {
-			c.setMachine(m.id, rec, body.Revision)
-		}
-		done(true)
-	})
-}
-
-// release lets a machine go, at the leader's request: at once if it is idle,
-// else when it is empty, if it may be drained.
-func (c *Core) release(r peer.Release) bool {
-	m := c.mach[r.Machine]
-	if m == nil || m.v == nil || r.Share < 0 || r.Share >= len(c.own.shares) {
-		return false
-	}
-	s := c.acting(m.rec.Share)
-	if s != nil && r.Drain && !m.v.leaving && (r.Retire || r.Share != s.id) {
-		m.v.going, m.v.goingTo = r, c.now+4*micros.Second
-		if r.Save {
-			c.saveAll(m)
-		}
-	}
-	if s == nil || !c.canAnswer() || m.v.leaving || m.v.orderBusy || m.v.unclear != 0 || !m.v.settled && !m.v.gone ||
-		!m.v.empty() || (!r.Retire && (r.Share == s.id || m.v.gone)) {
-		return false
-	}
-	rec := m.rec
-	if r.Retire {
-		rec.Retiring = true
-	} else {
-		rec.Share = r.Share
-	}
-	v := m.v
-	v.leaving = true
-	c.putMachine(s, m, rec, func(ok bool) {
-		if m.v == v && !ok {
-			// The watch shows it if it was applied. A late copy may still come, so
-			// nothing is placed here until the record has been rewritten.
-			v.unclear = max(v.unclear, c.token(s, m))
-		}
-	})
-	return true
-}
-
 // saveAll stops a machine's tasks so that they go on elsewhere, if all of them
 // can save.
 func (c *Core) saveAll(m *machine) {
-	slots := m.v.sorted()
+	slots := m.v.each()
 	for _, sl := range slots {
 		if sl.state != slotExited && (!sl.owned || sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning && sl.state != slotSaving) {
 			return
@@ -765,44 +606,31 @@
 
 // houseMachines looks at what time does to machines.
 func (c *Core) houseMachines() {
-	for _, id := range sortedKeys(c.mach) {
-		m := c.mach[id]
-		v := m.v
-		if v == nil {
-			continue
-		}
-		s := c.own.shares[m.rec.Share]
+	c.orders.budget()
+	for _, s := range c.own.shares {
 		if c.acting(s.id) == nil {
 			continue
 		}
-		if !v.gone {
-			bound := max(v.settledAt, v.answered) + c.bounds.WorkerGone
-			if !v.settled {
-				bound = max(s.freeAt, v.answered+c.bounds.WorkerGone, v.settledAt+c.bounds.WorkerGone)
-			}
-			if c.now >= bound {
-				c.freeAll(m, "its lease has run out", false)
-				v.gone, v.settled = true, false
-				c.dirty = true
+		var ready []*machine
+		for _, m := range s.machines {
+			if m.v != nil && c.houseMachine(s, m) {
+				ready = append(ready, m)
 			}
 		}
-		if !v.settled {
-			c.settleMachine(s, m)
-		}
-		if !v.raiseBusy && c.now >= v.raiseNext && c.canAnswer() &&
-			(v.unclear != 0 && c.token(s, m) <= v.unclear || v.kept(c.token(s, m)) > maxKept) {
-			c.raise(s, m)
-		}
-		if v.takenAt != 0 {
-			c.drain(m)
-		}
-		if c.now < v.goingTo && !v.leaving && v.empty() {
-			now := v.going
-			now.Drain = false // or it would prolong itself
-			c.release(now)
+		for len(ready) > 0 { // those that go the same way go together
+			to := ready[0].v.going
+			same := func(m *machine) bool { return m.v.going.Retire == to.Retire && m.v.going.Share == to.Share }
+			var now, later []*machine
+			for _, m := range ready {
+				if same(m) {
+					now = append(now, m)
+				} else {
+					later = append(later, m)
+				}
+			}
+			c.letMachinesGo(now, to)
+			ready = later
 		}
-	}
-	for _, s := range c.own.shares {
 		if s.active && !s.current && c.canAnswer() {
 			c.catchUp(s)
 		}
@@ -812,6 +640,42 @@
 	}
 }
 
+// houseMachine looks at one machine, and tells whether it is to be released now.
+func (c *Core) houseMachine(s *share, m *machine) bool {
+	v := m.v
+	if m.returned {
+		return false
+	}
+	if !v.gone && (v.known || v.doubt) {
+		bound := max(v.settledAt, v.answered) + c.bounds.WorkerGone
+		if !v.settled {
+			bound = max(s.freeAt, v.answered+c.bounds.WorkerGone, v.settledAt+c.bounds.WorkerGone)
+		}
+		if c.now >= bound {
+			c.freeAll(m, "its lease has run out", false)
+			v.gone, v.settled, v.doubt = true, false, false
+			v.reach = reach{}
+			c.touch(m)
+			c.dirty = true
+		}
+	}
+	if !v.settled {
+		c.settleMachine(s, m)
+	} else if !v.fresh {
+		c.probeLate(s, m)
+	}
+	if c.canAnswer() && (v.unclear != 0 && c.token(s, m) <= v.unclear || len(v.list) > maxKept && v.kept(c.token(s, m)) > maxKept) {
+		c.raise(s, m)
+	}
+	if v.takenAt != 0 {
+		c.drain(m)
+	}
+	if c.wantsOrder(v) {
+		c.queueOrder(m)
+	}
+	return c.now < v.goingTo && c.releasable(m, v.going.Retire)
+}
+
 // maxKept is how many dealt with attempts a machine may go on reporting before
 // its token is raised so that they can be cleared.
 const maxKept = 24
@@ -819,7 +683,7 @@
 // kept counts the attempts that wait for a token above the current one.
 func (v *view) kept(token uint64) int {
 	n := 0
-	for _, sl := range v.slots {
+	for _, sl := range v.list {
 		if sl.state == slotExited && sl.acted && !sl.clearable() && sl.ordered >= token {
 			n++
 		}
@@ -829,8 +693,8 @@
 
 // allSettled: nothing of a former owner can still be on an unknown place.
 func (c *Core) allSettled(s *share) bool {
-	for _, m := range c.mach {
-		if m.rec.Share == s.id && m.v != nil && !m.v.settled && !m.v.gone {
+	for _, m := range s.machines {
+		if m.v != nil && m.v.doubt {
 			return false
 		}
 	}
@@ -838,8 +702,8 @@
 }
 
 func (c *Core) anyUnclear(s *share) bool {
-	for _, m := range c.mach {
-		if m.rec.Share == s.id && m.v != nil && (m.v.unclear != 0 || m.v.orderBusy) {
+	for _, m := range s.machines {
+		if m.v != nil && (m.v.unclear != 0 || m.v.orderBusy || m.v.leaving) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/core/orders.go
@@ -0,0 +1,190 @@
+package core
+
+import (
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// orderQueue holds machines to which something should be sent directly. How
+// many requests to workers are under way is bounded, so that a takeover of
+// hundreds of machines or a burst of starts leaves sockets and time for reports,
+// answers and the lease.
+type orderQueue struct {
+	wait     []*machine
+	inFlight int
+	most     int
+	asks     int // settling and probing requests that may still begin in this turn
+}
+
+// budget begins a turn.
+func (q *orderQueue) budget() { q.asks = max(q.most/4, 4) }
+
+// mayAsk takes one of the requests that a turn allows for machines that are not
+// wanted for a start.
+func (q *orderQueue) mayAsk() bool {
+	if q.asks <= 0 || q.inFlight >= q.most {
+		return false
+	}
+	q.asks--
+	return true
+}
+
+// commands gives what a machine is to do. Runs go out when forReport is set or
+// no direct order is unclear.
+func (c *Core) commands(m *machine, forReport bool) []wire.Command {
+	const most = 200
+	v := m.v
+	out := []wire.Command{}
+	if !v.settled {
+		return out
+	}
+	zero := 0.0
+	for _, sl := range v.list {
+		if len(out) >= most {
+			return out
+		}
+		name := wire.TaskName(sl.key.job, sl.idx)
+		switch {
+		case sl.clearable():
+			out = append(out, wire.Command{Op: wire.OpForget, Task: name, Attempt: sl.key.attempt})
+		case sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited:
+			grace := &zero
+			if sl.halt == haltSave && sl.job != nil {
+				g := sl.job.sub.SaveS + 1
+				grace = &g
+			}
+			if sl.state == slotSaving && sl.halt == haltSave {
+				continue
+			}
+			sl.haltAt = c.now
+			out = append(out, wire.Command{Op: wire.OpStop, Task: name, Attempt: sl.key.attempt, GraceS: grace})
+		}
+	}
+	for _, sl := range v.list {
+		if len(out) >= most || sl.state != slotAssigned {
+			continue
+		}
+		if forReport {
+			sl.state, sl.sentSeq = slotSent, v.seq
+		} else {
+			sl.state, sl.ordered = slotOrdered, c.token(c.own.shares[m.rec.Share], m)
+		}
+		sl.since = c.now
+		c.touch(m)
+		out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
+	}
+	return out
+}
+
+// wantsOrder: is there something that should not wait for the next report?
+func (c *Core) wantsOrder(v *view) bool {
+	for _, sl := range v.list {
+		if sl.state == slotAssigned {
+			return true
+		}
+		if sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited && c.now-sl.haltAt >= micros.Second &&
+			!(sl.state == slotSaving && sl.halt == haltSave) {
+			return true
+		}
+	}
+	return false
+}
+
+// queueOrder notes that a machine should hear something before its next report.
+func (c *Core) queueOrder(m *machine) {
+	if v := m.v; v != nil && !v.orderQueued {
+		v.orderQueued = true
+		c.orders.wait = append(c.orders.wait, m)
+	}
+}
+
+// flushOrders sends direct orders where they are wanted, first come first served.
+func (c *Core) flushOrders() {
+	q := &c.orders
+	wait := q.wait
+	if len(wait) == 0 {
+		return
+	}
+	q.wait = nil
+	for i, m := range wait {
+		v := m.v
+		if v == nil || !v.orderQueued {
+			continue
+		}
+		if q.inFlight >= q.most {
+			q.wait = append(q.wait, wait[i:]...)
+			return
+		}
+		v.orderQueued = false
+		if !v.settled || v.fresh || v.gone || m.returned || v.orderBusy || v.unclear != 0 || c.outOfReach(m) || c.now < v.orderNext {
+			continue // houseMachine looks again
+		}
+		if s := c.acting(m.rec.Share); s != nil && c.wantsOrder(v) {
+			c.sendOrder(s, m, c.commands(m, false))
+		}
+	}
+}
+
+const orderTimeout = 1500 * micros.Millisecond
+
+// sendOrder sends commands directly. An unanswered order may still act late,
+// so its starts stay unclear until the token has been raised and seen.
+func (c *Core) sendOrder(s *share, m *machine, commands []wire.Command) {
+	v := m.v
+	v.orderBusy = true
+	c.orders.inFlight++
+	token := c.token(s, m)
+	req := wire.Orders{Token: token, Session: m.session, Commands: commands}
+	c.call(Call{To: ToWorker, Addr: m.rec.Addr, Req: req, Timeout: orderTimeout}, func(r Result) {
+		c.orders.inFlight--
+		if m.v != v {
+			return
+		}
+		v.orderBusy = false
+		rep, ok := r.Body.(*wire.Report)
+		ok = ok && rep.Machine == m.id
+		if ok {
+			v.reach = reach{} // it was reached, whatever it says
+		}
+		executed := ok && r.Status == 200
+		refused := r.NotSent || ok && r.Status == 409
+		for _, sl := range v.each() {
+			if sl.state != slotOrdered {
+				continue
+			}
+			c.touch(m)
+			switch {
+			case executed:
+				sl.state, sl.sentSeq = slotSent, rep.Seq
+			case refused:
+				c.freeSlot(sl, false)
+			default:
+				sl.state = slotUnclear
+				v.unclear = max(v.unclear, token)
+			}
+		}
+		if !executed {
+			v.orderNext = c.now + 2*micros.Second
+		}
+		if ok && c.acting(s.id) != nil && rep.Token <= c.token(s, m) {
+			c.observe(s, m, rep, false)
+			c.placeOn(s, m)
+		}
+		if m.v == v && c.wantsOrder(v) {
+			c.queueOrder(m)
+		}
+	})
+}
+
+// settleMachine brings an unsettled machine to show its tasks under our token.
+// An empty order does it: its answer carries the token, or the session that it
+// should have named.
+func (c *Core) settleMachine(s *share, m *machine) {
+	v := m.v
+	if v.settled || m.returned || v.orderBusy || c.now < v.showNext || m.rec.Addr == "" || c.acting(s.id) == nil || !c.orders.mayAsk() {
+		return
+	}
+	v.showNext = c.now + micros.Second
+	m.session = max(m.session, 1)
+	c.sendOrder(s, m, []wire.Command{})
+}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -22,7 +22,15 @@
 // share is a set of teams (or of jobs) with the machines recorded to it.
 type share struct {
 	role
-	id int
+	id       int
+	machines []*machine // on record, in order of name
+	touched  []*machine // their tallies are to be counted again
+	recount  bool       // all of them are
+	used     []usage    // what could be on them at most, by team
+	queue    []*job     // unfinished jobs in the order in which they are served
+	// queueStale: a job has come or gone since.
+	queueStale bool
+	settled    bool // no task of a former owner can be at an unknown place
 	// active: this node saw its own claim in the watch, so that its view of
 	// machines is at least as new as the claim.
 	active    bool
@@ -264,9 +272,9 @@
 	} else if l.mark == 0 && l.absentSince == 0 {
 		l.absentSince = c.now
 	}
-	for _, id := range sortedKeys(c.mach) {
-		if m := c.mach[id]; m.mark <= revision && !listed[wire.MachineKey(id)] {
-			c.applyDelete(wire.MachineKey(id), revision)
+	for _, key := range sortedKeys(c.batches) {
+		if b := c.batches[key]; b.mark <= revision && !listed[key] {
+			c.dropBatch(b)
 		}
 	}
 }
@@ -312,13 +320,13 @@
 			return
 		}
 		c.learnTypes(rec, false)
-	case strings.HasPrefix(key, wire.PrefixMachine):
-		var rec wire.MachineRecord
-		if err := wire.Decode(value, &rec); err != nil || rec.Share < 0 || rec.Share >= len(c.own.shares) {
+	case strings.HasPrefix(key, wire.PrefixFleet):
+		var rec wire.BatchRecord
+		if err := wire.Decode(value, &rec); err != nil {
 			bad(err)
 			return
 		}
-		c.setMachine(key[len(wire.PrefixMachine):], rec, mark)
+		c.setBatch(key, rec, mark)
 	case strings.HasPrefix(key, wire.PrefixJob):
 		var rec wire.JobRecord
 		if err := wire.Decode(value, &rec); err != nil {
@@ -346,10 +354,9 @@
 		if l := &c.own.leader; mark >= l.mark {
 			l.mark, l.rec, l.absentSince = 0, wire.OwnerRecord{}, c.now
 		}
-	case strings.HasPrefix(key, wire.PrefixMachine):
-		id := key[len(wire.PrefixMachine):]
-		if m := c.mach[id]; m != nil && mark >= m.mark {
-			c.dropMachine(m)
+	case strings.HasPrefix(key, wire.PrefixFleet):
+		if b := c.batches[key]; b != nil && mark >= b.mark {
+			c.dropBatch(b)
 		}
 	}
 }
@@ -374,10 +381,13 @@
 	s.quiet = map[string]micros.Micros{}
 	s.loading, s.loaded, s.versions, s.verMarks = false, false, nil, nil
 	s.current, s.catching = false, false
+	s.settled, s.recount, s.queueStale = false, true, true
 	machines := 0
-	for _, id := range sortedKeys(c.mach) {
-		if m := c.mach[id]; m.rec.Share == s.id && !m.rec.Retiring {
-			m.v = c.newView()
+	for _, m := range s.machines {
+		if !m.rec.Retiring {
+			v := c.newView()
+			v.doubt, v.gone = !m.returned, m.returned
+			c.setView(m, v)
 			machines++
 		}
 	}
@@ -443,10 +453,8 @@
 	c.log(Info, "share given up", "share", s.id)
 	s.active, s.handing = false, false
 	s.versions, s.verMarks = nil, nil
-	for _, m := range c.mach {
-		if m.rec.Share == s.id {
-			m.v = nil
-		}
+	for _, m := range s.machines {
+		c.setView(m, nil)
 	}
 	for _, j := range c.jobs.open {
 		if j.share == s.id {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -18,10 +18,17 @@
 	demand  []peer.Demand
 	demAt   micros.Micros
 	heard   map[string]bool // machines that tried it of late
+	gone    []string        // returned machines that it has not been told of
 }
 
 const statusEvery = micros.Second
 
+// maxHeard bounds how many machines that it hears a node names to another.
+const maxHeard = 200
+
+// maxGone bounds how many returned machines one message names.
+const maxGone = 500
+
 // alive: it was heard of within the last few statuses.
 func (c *Core) alive(p *peerView) bool { return c.now-p.heardAt < 5*statusEvery/2 }
 
@@ -62,12 +69,15 @@
 		st.Demand = c.demands()
 	}
 	sent := st.Owns
+	st.Gone = p.gone[:min(len(p.gone), maxGone)]
+	told := len(st.Gone)
 	c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Status: st}, Timeout: statusEvery}, func(r Result) {
 		p.busy = false
 		resp, ok := r.Body.(*peer.Response)
 		if !ok || r.Status != 200 || resp.Status == nil {
 			return
 		}
+		p.gone = p.gone[min(told, len(p.gone)):]
 		p.heardAt = c.now
 		p.uptime = micros.Micros(resp.Status.UptimeUS)
 		p.stateOK, p.deaf = resp.Status.StateOK, resp.Status.Deaf
@@ -101,6 +111,9 @@
 		if req.Status.Demand != nil || c.leading() {
 			p.demand, p.demAt = req.Status.Demand, c.now
 		}
+		for _, id := range req.Status.Gone {
+			c.machineReturned(id)
+		}
 		resp.Status = &peer.StatusAck{
 			UptimeUS: int64(c.now - c.began),
 			StateOK:  c.stateFresh(),
@@ -108,7 +121,7 @@
 			Quiet:    c.noteOwned(req.Status.Owns),
 		}
 		for _, id := range sortedKeys(c.heard) {
-			if len(resp.Status.Heard) < 200 {
+			if len(resp.Status.Heard) < maxHeard {
 				resp.Status.Heard = append(resp.Status.Heard, id)
 			}
 		}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"garnethitch/internal/micros"
@@ -12,17 +11,6 @@
 // typeIndex keeps machine types in order of name.
 type typeIndex struct{ names []string }
 
-// room is what one machine has left while a placement is worked out.
-type room struct {
-	m               *machine
-	cpus, gpus, mem float64
-	// soon is what tasks being stopped will leave, on top.
-	soonCPUs, soonGPUs, soonMem float64
-	tasks                       int
-	fetching                    map[string]bool
-	usable                      bool
-}
-
 // usage counts what could be on machines, by team.
 type usage struct{ cpus, gpus float64 }
 
@@ -36,118 +24,171 @@
 	return t.CPUsMax > 0 && u.cpus+sub.CPUs > t.CPUsMax+eps || t.GPUsMax > 0 && u.gpus+sub.GPUs > t.GPUsMax+eps
 }
 
-// fits: a task finds room now.
-func (r *room) fits(sub *wire.Submission) bool {
-	return r.usable && r.cpus+eps >= sub.CPUs && r.gpus+eps >= sub.GPUs && r.mem+eps >= sub.MemGB
-}
-
 const eps = 1e-6
 
+// placeEvery is the pace of whole rounds. Room that comes free is used at once,
+// by the report that tells of it; see placeOn.
+const placeEvery = 50 * micros.Millisecond
+
 // place starts waiting tasks where there is room, for every share of this node.
 func (c *Core) place() {
-	if !c.dirty {
+	if c.dirty {
+		if c.now < c.schedAt {
+			c.wakeIn(c.schedAt - c.now)
+		} else {
+			c.dirty = false
+			c.schedAt = c.now + placeEvery
+			for _, s := range c.own.shares {
+				if c.acting(s.id) != nil {
+					c.placeShare(s)
+				}
+			}
+		}
+	}
+	c.flushOrders()
+}
+
+// count tallies a machine's attempts anew.
+func (c *Core) count(m *machine) {
+	v := m.v
+	v.stale = false
+	used := v.sum.used
+	if used == nil {
+		used = make([]usage, len(c.cfg.Teams))
+	}
+	clear(used)
+	v.sum = tally{used: used}
+	for _, sl := range v.list {
+		c.addTo(&v.sum, sl)
+	}
+	if v.doubt || v.sum.stray {
+		// It may hold anything that fits, of any team of the share.
+		mt := c.types[m.rec.Type]
+		for i := range used {
+			used[i].cpus += mt.CPUs
+			used[i].gpus += mt.GPUs
+		}
+	}
+}
+
+// addTo adds an attempt to a tally.
+func (c *Core) addTo(t *tally, sl *slot) {
+	if sl.state == slotExited {
+		t.exited++
 		return
 	}
-	if c.now < c.schedAt {
-		c.wakeIn(c.schedAt - c.now)
+	if sl.job == nil {
+		t.stray = true
 		return
 	}
-	c.dirty = false
-	c.schedAt = c.now + 20*micros.Millisecond
-	for _, s := range c.own.shares {
-		if c.acting(s.id) != nil {
-			c.placeShare(s)
-		}
+	sub := sl.job.sub
+	t.used[sl.job.team].add(sub)
+	t.cpus += sub.CPUs
+	t.gpus += sub.GPUs
+	t.mem += sub.MemGB
+	t.tasks++
+	if sl.state == slotAssigned {
+		t.assigned++
+	}
+	if sl.halt != haltNone {
+		t.stopping++
+		t.soonCPUs += sub.CPUs
+		t.soonGPUs += sub.GPUs
+		t.soonMem += sub.MemGB
 	}
-	c.flushOrders()
 }
 
-// rooms lists a share's machines with what is free on them, and what each team
-// could be using at most.
-func (c *Core) rooms(s *share) ([]*room, []usage) {
-	used := make([]usage, len(c.cfg.Teams))
-	var out []*room
-	for _, id := range sortedKeys(c.mach) {
-		m := c.mach[id]
-		if m.rec.Share != s.id || m.v == nil {
-			continue
-		}
-		mt, known := c.types[m.rec.Type]
-		v := m.v
-		full := !v.settled && !v.gone
-		r := &room{m: m, cpus: mt.CPUs, gpus: mt.GPUs, mem: mt.MemGB, fetching: map[string]bool{}}
-		for _, sl := range v.slots {
-			if sl.state == slotExited {
-				continue
-			}
-			if sl.job == nil {
-				full = true
+// refresh brings a share's sums up to date: what its teams could be using at
+// most. Only machines that have changed are counted again.
+func (c *Core) refresh(s *share) {
+	if s.recount {
+		s.recount = false
+		s.touched = s.touched[:0]
+		s.used = make([]usage, len(c.cfg.Teams))
+		for _, m := range s.machines {
+			if m.v == nil {
 				continue
 			}
-			sub := sl.job.sub
-			used[sl.job.team].add(sub)
-			r.cpus -= sub.CPUs
-			r.gpus -= sub.GPUs
-			r.mem -= sub.MemGB
-			r.tasks++
-			if sl.state <= slotFetching {
-				r.fetching[sub.Image] = true
-			}
-			if sl.halt != haltNone {
-				r.soonCPUs += sub.CPUs
-				r.soonGPUs += sub.GPUs
-				r.soonMem += sub.MemGB
+			c.count(m)
+			for i, u := range m.v.sum.used {
+				s.used[i].cpus += u.cpus
+				s.used[i].gpus += u.gpus
 			}
 		}
-		if full {
-			// It may hold anything that fits, of any team of the share.
-			for i := range used {
-				used[i].cpus += mt.CPUs
-				used[i].gpus += mt.GPUs
-			}
+		return
+	}
+	for _, m := range s.touched {
+		v := m.v
+		if v == nil || !v.stale || m.rec.Share != s.id {
+			continue
 		}
-		r.usable = known && v.settled && !full && !v.leaving && c.now >= v.goingTo && v.takenAt == 0 &&
-			c.now >= v.asideUntil && c.now >= v.restUntil && c.now-v.heard < c.silence()
-		if v.restUntil > c.now {
-			c.wakeIn(v.restUntil - c.now)
-			c.dirty = true
+		for i, u := range v.sum.used {
+			s.used[i].cpus -= u.cpus
+			s.used[i].gpus -= u.gpus
+		}
+		c.count(m)
+		for i, u := range v.sum.used {
+			s.used[i].cpus += u.cpus
+			s.used[i].gpus += u.gpus
 		}
-		out = append(out, r)
 	}
-	return out, used
+	s.touched = s.touched[:0]
 }
 
-// silence is how long a machine may be unheard before no more is put on it.
-func (c *Core) silence() micros.Micros { return 2*c.cfg.ReportEvery + micros.Second }
+// usable: a machine may be given tasks.
+func (c *Core) usable(m *machine) bool {
+	v := m.v
+	return v.settled && v.known && !v.gone && !m.returned && !v.sum.stray && !v.leaving && c.now >= v.goingTo && v.takenAt == 0 &&
+		c.now >= v.asideUntil && c.now >= v.restUntil && c.unheard(v) <= c.late() && !c.outOfReach(m) &&
+		v.sum.tasks < maxTasksPerMachine && c.types[m.rec.Type].CPUs > 0
+}
 
-// runnable lists a share's jobs that want tasks started, the first to be
-// served first.
-func (c *Core) runnable(s *share) []*job {
-	settled := c.allSettled(s)
-	known := c.own.renewed + c.bounds.Answer
-	var out []*job
-	for _, j := range c.jobs.open {
-		r := j.run
-		if j.share != s.id || r == nil || !r.ready || r.want != "" || j.knownAt > known {
-			continue
-		}
-		if !r.fresh && !(settled && s.current) {
-			continue // a former owner may have started its tasks on a machine unheard of
+// free is what a machine has left for a job: room that is kept for another job
+// does not count.
+func (c *Core) free(m *machine, j *job) (cpus, gpus, mem float64) {
+	mt, v := c.types[m.rec.Type], m.v
+	cpus, gpus, mem = mt.CPUs-v.sum.cpus, mt.GPUs-v.sum.gpus, mt.MemGB-v.sum.mem
+	if h := &v.hold; h.job != nil && h.job != j {
+		if c.now >= h.until || h.job.run == nil || h.job.pending() <= 0 {
+			v.hold = hold{}
+			return
 		}
-		if j.pending() > 0 {
-			out = append(out, j)
+		// What is being made free serves the hold first.
+		cpus -= max(h.cpus-v.sum.soonCPUs, 0)
+		gpus -= max(h.gpus-v.sum.soonGPUs, 0)
+		mem -= max(h.mem-v.sum.soonMem, 0)
+	}
+	return
+}
+
+// fits: one of a job's tasks finds room on a machine now.
+func (c *Core) fits(m *machine, j *job) bool {
+	cpus, gpus, mem := c.free(m, j)
+	return cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB && m.v.sum.tasks < maxTasksPerMachine
+}
+
+// queue lists a share's unfinished jobs, the first to be served first.
+func (c *Core) queue(s *share) []*job {
+	if !s.queueStale {
+		return s.queue
+	}
+	s.queueStale = false
+	s.queue = s.queue[:0]
+	for _, j := range c.jobs.open {
+		if j.share == s.id && j.run != nil {
+			s.queue = append(s.queue, j)
 		}
 	}
-	within := c.withinGuarantee(s)
-	slices.SortFunc(out, func(a, b *job) int {
+	c.markGuaranteed(s.queue)
+	slices.SortFunc(s.queue, func(a, b *job) int {
 		return cmp.Or(
 			-cmp.Compare(a.priority, b.priority),
-			-cmp.Compare(b2i(within[a]), b2i(within[b])),
+			-cmp.Compare(b2i(a.within), b2i(b.within)),
 			cmp.Compare(a.due, b.due),
 			cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS),
 			cmp.Compare(a.id, b.id))
 	})
-	return out
+	return s.queue
 }
 
 func b2i(b bool) int {
@@ -157,49 +198,76 @@
 	return 0
 }
 
-// withinGuarantee tells which unfinished jobs fit into their team's guarantee
+// markGuaranteed marks the unfinished jobs that fit into their team's guarantee
 // together with the team's earlier ones.
-func (c *Core) withinGuarantee(s *share) map[*job]bool {
-	byTeam := map[int][]*job{}
-	for _, j := range c.jobs.open {
-		if t := c.cfg.Teams[j.team]; j.share == s.id && (t.CPUs > 0 || t.GPUs > 0) {
-			byTeam[j.team] = append(byTeam[j.team], j)
+func (c *Core) markGuaranteed(jobs []*job) {
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS), cmp.Compare(a.id, b.id))
+	})
+	team, over := -1, false
+	var sum usage
+	for _, j := range jobs {
+		if j.team != team {
+			team, over, sum = j.team, false, usage{}
 		}
-	}
-	out := map[*job]bool{}
-	for team, list := range byTeam {
-		slices.SortFunc(list, func(a, b *job) int {
-			return cmp.Or(cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS), cmp.Compare(a.id, b.id))
-		})
 		t := c.cfg.Teams[team]
-		cpus, gpus := 0.0, 0.0
-		for _, j := range list {
-			cpus += float64(j.sub.Tasks) * j.sub.CPUs
-			gpus += float64(j.sub.Tasks) * j.sub.GPUs
-			if cpus > t.CPUs+eps || gpus > t.GPUs+eps && gpus > 0 {
-				break
-			}
-			out[j] = true
-		}
+		sum.cpus += float64(j.sub.Tasks) * j.sub.CPUs
+		sum.gpus += float64(j.sub.Tasks) * j.sub.GPUs
+		over = over || t.CPUs <= 0 && t.GPUs <= 0 || sum.cpus > t.CPUs+eps || sum.gpus > t.GPUs+eps && sum.gpus > 0
+		j.within = !over
 	}
-	return out
+}
+
+// runnable: a job wants tasks started, and they may be.
+func (c *Core) runnable(s *share, j *job) bool {
+	r := j.run
+	return r != nil && r.ready && r.want == "" && j.pending() > 0 &&
+		j.knownAt <= c.own.renewed+c.bounds.Answer &&
+		// A former owner may have started its tasks on a machine unheard of.
+		(r.fresh || s.current && s.settled)
+}
+
+// shape is what placing a plain task depends on.
+type shape struct{ cpus, gpus, mem float64 }
+
+func (a shape) covers(b shape) bool {
+	return a.cpus <= b.cpus+eps && a.gpus <= b.gpus+eps && a.mem <= b.mem+eps
 }
 
 // placeShare assigns waiting tasks of one share.
 func (c *Core) placeShare(s *share) {
-	jobs := c.runnable(s)
-	if len(jobs) == 0 && len(c.warm) == 0 {
-		return
+	c.refresh(s)
+	s.settled = c.allSettled(s)
+	var free []*machine
+	for _, m := range s.machines {
+		if m.v == nil || !c.usable(m) {
+			if m.v != nil && m.v.restUntil > c.now {
+				c.wakeIn(m.v.restUntil - c.now)
+				c.dirty = true
+			}
+			continue
+		}
+		if c.types[m.rec.Type].CPUs-m.v.sum.cpus > eps || c.types[m.rec.Type].MemGB-m.v.sum.mem > eps {
+			free = append(free, m)
+		}
 	}
-	rooms, used := c.rooms(s)
-	c.prefetch(rooms, used, true)
-	for _, j := range jobs {
-		c.placeJob(s, j, rooms, used)
+	free = c.prefetch(s, free, true)
+	var full []shape // shapes for which no room was found
+	c.preempt.begin()
+	for i, j := range c.queue(s) {
+		if !c.runnable(s, j) {
+			continue
+		}
+		if i%8 == 7 {
+			free = slices.DeleteFunc(free, func(m *machine) bool { return c.types[m.rec.Type].CPUs-m.v.sum.cpus <= eps })
+		}
+		c.placeJob(s, j, free, &full)
 	}
-	c.prefetch(rooms, used, false)
+	c.prefetch(s, free, false)
 }
 
-func (c *Core) placeJob(s *share, j *job, rooms []*room, used []usage) {
+// placeJob assigns a job's waiting tasks to machines with room.
+func (c *Core) placeJob(s *share, j *job, free []*machine, full *[]shape) {
 	r := j.run
 	if r.probeAt != 0 {
 		// It has failed on several machines and succeeded nowhere: one task at a
@@ -213,33 +281,107 @@
 			return
 		}
 	}
-	team := c.cfg.Teams[j.team]
+	team, u := c.cfg.Teams[j.team], &s.used[j.team]
+	if u.over(team, j.sub) {
+		return
+	}
+	want := shape{j.sub.CPUs, j.sub.GPUs, j.sub.MemGB}
+	plain := j.sub.Plain()
+	if plain && slices.ContainsFunc(*full, func(f shape) bool { return f.covers(want) }) {
+		c.makeRoom(s, j)
+		return
+	}
+	cands := c.candidates(j, free)
 	zones := c.zonesOf(j)
-	for {
-		idx, ok := j.nextTask()
-		if !ok {
-			return
+	for _, m := range cands {
+		for c.fits(m, j) && c.allowed(j, m, zones) {
+			idx, ok := j.nextTask()
+			if !ok {
+				return
+			}
+			if u.over(team, j.sub) {
+				return
+			}
+			if c.avoids(j, idx, m) {
+				break
+			}
+			c.assign(s, j, idx, m)
+			if zones != nil {
+				zones[m.rec.Zone]++
+			}
+			if r.probeAt != 0 {
+				return
+			}
 		}
-		u := &used[j.team]
-		if u.over(team, j.sub) {
+	}
+	if _, ok := j.nextTask(); !ok || u.over(team, j.sub) {
+		return
+	}
+	if plain {
+		*full = append(*full, want)
+	}
+	c.makeRoom(s, j)
+}
+
+// placeOn gives a machine that has just told of itself what waits and fits, in
+// the order of the queue.
+func (c *Core) placeOn(s *share, m *machine) {
+	v := m.v
+	if v == nil || c.acting(s.id) == nil {
+		return
+	}
+	c.refresh(s)
+	if !c.usable(m) {
+		return
+	}
+	mt := c.types[m.rec.Type]
+	looked := 0
+	for _, j := range c.queue(s) {
+		if mt.CPUs-v.sum.cpus <= eps || looked >= maxLooked {
 			return
 		}
-		best := c.pick(j, idx, rooms, zones)
-		if best == nil {
-			c.makeRoom(s, j, rooms, zones)
-			return
+		if !c.runnable(s, j) {
+			continue
 		}
-		c.assign(j, idx, best)
-		zones[best.m.rec.Zone]++
-		u.add(j.sub)
-		if r.probeAt != 0 {
-			return
+		looked++
+		r, u := j.run, &s.used[j.team]
+		if r.probeAt != 0 || u.over(c.cfg.Teams[j.team], j.sub) {
+			continue
+		}
+		if !c.fits(m, j) {
+			// A job that waits for others to be stopped takes what it needs here, or
+			// one further down the line would take what has just come free, and be
+			// stopped for it in turn.
+			if r.lookAt != 0 && v.hold.job == nil && r.arrival+c.patience(j) <= c.now && c.allowed(j, m, c.zonesOf(j)) {
+				if o := c.offer(j, m); o != nil {
+					c.take(j, o)
+				}
+			}
+			continue
+		}
+		zones := c.zonesOf(j)
+		for c.fits(m, j) && c.allowed(j, m, zones) {
+			idx, ok := j.nextTask()
+			if !ok || u.over(c.cfg.Teams[j.team], j.sub) || c.avoids(j, idx, m) {
+				break
+			}
+			c.assign(s, j, idx, m)
+			if zones != nil {
+				zones[m.rec.Zone]++
+			}
 		}
 	}
 }
 
-// zonesOf counts a job's tasks by zone, those that may be there included.
+// maxLooked bounds how many waiting jobs one report's answer looks at.
+const maxLooked = 100
+
+// zonesOf counts a job's tasks by zone, those that may be there included; nil
+// if it does not matter to the job.
 func (c *Core) zonesOf(j *job) map[string]int {
+	if !j.sub.OneZone && !j.sub.Apart {
+		return nil
+	}
 	zones := map[string]int{}
 	for _, sl := range j.run.active {
 		zones[sl.m.rec.Zone]++
@@ -270,241 +412,96 @@
 // maxTasksPerMachine keeps reports and answers within their size limit.
 const maxTasksPerMachine = 150
 
-// pick chooses the machine for a task: one that has the image or is fetching
-// it, then the one that is left fullest.
-func (c *Core) pick(j *job, idx int, rooms []*room, zones map[string]int) *room {
-	var best *room
-	bestScore := math.Inf(-1)
-	for _, r := range rooms {
-		if r.tasks >= maxTasksPerMachine || !r.fits(j.sub) ||
-			!c.allowed(j, r.m, zones) || c.avoids(j, idx, r.m) {
-			continue
-		}
-		if score := c.score(j, idx, r); score > bestScore {
-			best, bestScore = r, score
+// candidates gives the machines with room for a job's tasks, the best first:
+// those that have the image or are fetching it, then the fullest.
+func (c *Core) candidates(j *job, free []*machine) []*machine {
+	list := c.scratch[:0]
+	for _, m := range free {
+		if c.fits(m, j) && c.allowed(j, m, nil) {
+			list = append(list, scored{m, c.score(j, m)})
 		}
 	}
-	return best
+	c.scratch = list
+	slices.SortStableFunc(list, func(a, b scored) int { return -cmp.Compare(a.score, b.score) })
+	out := make([]*machine, len(list))
+	for i, s := range list {
+		out[i] = s.m
+	}
+	return out
+}
+
+// scored is a machine with how well it suits a job.
+type scored struct {
+	m     *machine
+	score float64
 }
 
-func (c *Core) score(j *job, idx int, r *room) float64 {
-	mt := c.types[r.m.rec.Type]
+func (c *Core) score(j *job, m *machine) float64 {
+	mt, v := c.types[m.rec.Type], m.v
 	score := 0.0
 	switch {
-	case r.m.v.images[j.sub.Image]:
+	case v.images[j.sub.Image]:
 		score += 4
-	case r.fetching[j.sub.Image]:
+	case v.fetches(j.sub.Image):
 		score += 2
 	}
 	// Failed here before, this job or others: rather elsewhere.
-	if j.run.fails[r.m.id] > 0 {
+	if j.run.fails[m.id] > 0 {
 		score -= 6
 	}
-	if len(r.m.v.failJobs) > 0 {
+	if len(v.failJobs) > 0 {
 		score -= 4
 	}
-	score -= 6 * c.slowness(r.m)
+	score -= 6 * c.slowness(m)
 	if mt.CPUs > 0 {
-		score += 1 - (r.cpus-j.sub.CPUs)/mt.CPUs
+		score += 1 - (mt.CPUs-v.sum.cpus-j.sub.CPUs)/mt.CPUs
 	}
 	return score
 }
 
+// fetches: an attempt there waits for an image, or will.
+func (v *view) fetches(image string) bool {
+	for _, sl := range v.list {
+		if sl.state <= slotFetching && sl.job != nil && sl.job.sub.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
 // assign makes the attempt; it is sent with the next answer or order.
-func (c *Core) assign(j *job, idx int, r *room) {
-	sl := c.newAttempt(j, idx, r)
+func (c *Core) assign(s *share, j *job, idx int, m *machine) {
+	sl := c.newAttempt(s, j, idx, m)
 	sl.owned = true
-	r.m.v.idleAt = c.now
+	v := m.v
+	v.idleAt = c.now
 	j.run.active[idx] = sl
 	if j.run.firstRun == 0 {
 		j.run.firstRun = c.now
 	}
-	c.log(Debug, "task placed", "task", j.id, "index", idx, "machine", r.m.id, "image", r.m.v.images[j.sub.Image], "expect_s", c.runs.expect(j.sub).Seconds())
+	if h := &v.hold; h.job == j {
+		h.cpus, h.gpus, h.mem = h.cpus-j.sub.CPUs, h.gpus-j.sub.GPUs, h.mem-j.sub.MemGB
+		if h.cpus <= eps && h.gpus <= eps && h.mem <= eps {
+			v.hold = hold{}
+		}
+	}
 }
 
 // newAttempt puts an attempt on a machine, to be sent, and takes its room.
-func (c *Core) newAttempt(j *job, idx int, r *room) *slot {
+func (c *Core) newAttempt(s *share, j *job, idx int, m *machine) *slot {
 	c.attempts++
-	mark := c.own.shares[r.m.rec.Share].mark
-	key := slotKey{job: j.id, idx: idx, attempt: mark<<32 | c.attempts&0xffffffff}
-	sl := &slot{key: key, job: j, idx: idx, m: r.m, state: slotAssigned, since: c.now, haltAt: -micros.Never}
-	r.m.v.slots[key] = sl
-	r.cpus -= j.sub.CPUs
-	r.gpus -= j.sub.GPUs
-	r.mem -= j.sub.MemGB
-	r.tasks++
-	r.fetching[j.sub.Image] = true
+	key := slotKey{job: j.id, idx: idx, attempt: s.mark<<32 | c.attempts&0xffffffff}
+	sl := &slot{key: key, job: j, idx: idx, m: m, state: slotAssigned, since: c.now, haltAt: -micros.Never}
+	v := m.v
+	fresh := !v.stale // then its tally can be kept, which spares counting it again
+	v.slots[key] = sl
+	v.list = append(v.list, sl)
+	if fresh {
+		c.addTo(&v.sum, sl)
+		s.used[j.team].add(j.sub)
+	} else {
+		c.touch(m)
+	}
+	c.queueOrder(m)
 	return sl
 }
-
-// makeRoom stops tasks of lower priority for a job that found no room.
-func (c *Core) makeRoom(s *share, j *job, rooms []*room, zones map[string]int) {
-	if j.priority == wire.PriorityLow || j.run.probeAt != 0 {
-		return
-	}
-	if wait := j.run.arrival + c.patience(j) - c.now; wait > 0 {
-		c.wakeIn(wait)
-		c.dirty = true
-		return
-	}
-	need := j.pending()
-	// Room that is already being made serves the first in line.
-	for _, r := range rooms {
-		if !r.usable || !c.allowed(j, r.m, zones) {
-			continue
-		}
-		for need > 0 && r.cpus+r.soonCPUs+eps >= j.sub.CPUs && r.gpus+r.soonGPUs+eps >= j.sub.GPUs && r.mem+r.soonMem+eps >= j.sub.MemGB {
-			r.reserve(j.sub)
-			need--
-		}
-	}
-	for ; need > 0; need-- {
-		r := c.cheapestVictims(j, rooms, zones)
-		if r == nil {
-			return
-		}
-		r.reserve(j.sub)
-	}
-}
-
-// reserve keeps room for a task that waits for others to go: what comes free
-// first, and the rest of what is free already, or a job further down the line
-// would take that and be stopped for it in turn.
-func (r *room) reserve(sub *wire.Submission) {
-	take := func(free, soon *float64, need float64) {
-		part := min(max(*soon, 0), need)
-		*soon -= part
-		*free -= need - part
-	}
-	take(&r.cpus, &r.soonCPUs, sub.CPUs)
-	take(&r.gpus, &r.soonGPUs, sub.GPUs)
-	take(&r.mem, &r.soonMem, sub.MemGB)
-}
-
-// patience is how long a job waits for room to come free by itself before
-// others are stopped for it. Tasks end all the time, and work that is stopped is
-// partly lost.
-func (c *Core) patience(j *job) micros.Micros {
-	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent {
-		if within < 10*micros.Second {
-			return 0
-		}
-		return within / 10
-	}
-	if c.pressed(j) {
-		return 0
-	}
-	return micros.Second
-}
-
-// pressed: the job can still be in time, but only if its tasks start within
-// some seconds.
-func (c *Core) pressed(j *job) bool {
-	due := j.due
-	if within := c.cfg.Finished[j.sub.Class]; within > 0 {
-		due = min(due, micros.Micros(j.rec.AcceptedMS)*micros.Millisecond+within)
-	}
-	slack := due - c.wall - c.runs.expect(j.sub)
-	return slack > 0 && slack < 15*micros.Second
-}
-
-// cheapestVictims stops the tasks whose loss costs least on the machine where
-// that is least, and gives the machine; nil if nothing may be stopped.
-func (c *Core) cheapestVictims(j *job, rooms []*room, zones map[string]int) *room {
-	var best *room
-	var bestSet []*slot
-	bestCost := math.Inf(1)
-	for _, r := range rooms {
-		if !r.usable || !c.allowed(j, r.m, zones) || j.run.fails[r.m.id] > 0 {
-			continue
-		}
-		set, cost := c.victims(j, r)
-		if !r.m.v.images[j.sub.Image] {
-			cost += 3
-		}
-		if set != nil && cost < bestCost {
-			best, bestSet, bestCost = r, set, cost
-		}
-	}
-	for _, sl := range bestSet {
-		c.stop(sl, c.haltFor(sl, j))
-		best.soonCPUs += sl.job.sub.CPUs
-		best.soonGPUs += sl.job.sub.GPUs
-		best.soonMem += sl.job.sub.MemGB
-		c.log(Info, "task stopped for a job of higher priority", "task", wire.TaskName(sl.job.id, sl.idx), "machine", best.m.id, "for", j.id)
-	}
-	return best
-}
-
-// victims gives the cheapest set on a machine that makes room for one task,
-// with what is lost in CPU seconds.
-func (c *Core) victims(j *job, r *room) ([]*slot, float64) {
-	cpus, gpus, mem := r.cpus+r.soonCPUs, r.gpus+r.soonGPUs, r.mem+r.soonMem
-	var cands []*slot
-	for _, sl := range r.m.v.slots {
-		if sl.job != nil && (sl.owned && sl.job.priority < j.priority || sl.warm) && sl.halt == haltNone && sl.state != slotExited {
-			cands = append(cands, sl)
-		}
-	}
-	slices.SortFunc(cands, func(a, b *slot) int {
-		return cmp.Or(cmp.Compare(c.lossOf(a), c.lossOf(b)), cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.idx, b.idx))
-	})
-	var set []*slot
-	cost := 0.0
-	for _, sl := range cands {
-		if cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB {
-			break
-		}
-		set = append(set, sl)
-		cost += c.lossOf(sl)
-		cpus += sl.job.sub.CPUs
-		gpus += sl.job.sub.GPUs
-		mem += sl.job.sub.MemGB
-	}
-	if len(set) == 0 || cpus+eps < j.sub.CPUs || gpus+eps < j.sub.GPUs || mem+eps < j.sub.MemGB {
-		return nil, 0
-	}
-	return set, cost
-}
-
-// lossOf is the work, in CPU seconds, that stopping an attempt throws away.
-func (c *Core) lossOf(sl *slot) float64 {
-	if sl.runAt == 0 {
-		return 0
-	}
-	ran := (c.now - sl.runAt).Seconds()
-	if k := sl.job.sub.CheckpointS; k > 0 {
-		ran = min(ran, k) // at most an interval is unsaved
-	}
-	// Its user also waits longer, which counts for more the higher its priority.
-	return ran*sl.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[sl.job.priority] + 4*float64(sl.job.priority)
-}
-
-// haltFor says how a victim is stopped: with time to save, unless the job that
-// waits is wanted started sooner than that.
-func (c *Core) haltFor(sl *slot, j *job) int {
-	if sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning {
-		return haltHard
-	}
-	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent && within < 2*micros.FromSeconds(sl.job.sub.SaveS) {
-		return haltHard
-	}
-	if c.pressed(j) {
-		return haltHard
-	}
-	return haltSave
-}
-
-// stop marks an attempt to be stopped; one that was never sent is just
-// forgotten.
-func (c *Core) stop(sl *slot, how int) {
-	if sl.state == slotAssigned {
-		c.freeSlot(sl, false)
-		return
-	}
-	if sl.halt < how {
-		sl.halt = how
-		sl.haltAt = -micros.Never
-	}
-	c.dirty = true
-}
--- /dev/null
+++ b/internal/core/preempt.go
@@ -0,0 +1,248 @@
+package core
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// preempting bounds the work of one round: looking for tasks to stop walks all
+// machines of a share.
+type preempting struct {
+	looks, stops int
+}
+
+const (
+	maxLooks = 3   // jobs for which a round looks for tasks to stop
+	maxStops = 200 // tasks that it stops
+)
+
+func (p *preempting) begin() { p.looks, p.stops = maxLooks, maxStops }
+
+// makeRoom stops tasks of lower priority for a job that found no room.
+func (c *Core) makeRoom(s *share, j *job) {
+	r := j.run
+	if j.priority == wire.PriorityLow || r.probeAt != 0 {
+		return
+	}
+	wait := r.arrival + c.patience(j) - c.now
+	if r.lookAt > c.now {
+		wait = max(wait, r.lookAt-c.now)
+	}
+	if wait > 0 {
+		c.wakeIn(wait)
+		c.dirty = true
+		return
+	}
+	if c.preempt.looks <= 0 || c.preempt.stops <= 0 {
+		c.dirty = true // in the next round
+		return
+	}
+	c.preempt.looks--
+	r.lookAt = c.now + 250*micros.Millisecond
+	need := j.pending()
+	if t := c.cfg.Teams[j.team]; t.CPUsMax > 0 && j.sub.CPUs > 0 {
+		need = min(need, int((t.CPUsMax-s.used[j.team].cpus)/j.sub.CPUs+eps))
+	}
+	zones := c.zonesOf(j)
+	var h offers
+	for _, m := range s.machines {
+		if m.v == nil || !c.usable(m) || !c.allowed(j, m, zones) || j.run.fails[m.id] > 0 {
+			continue
+		}
+		// Room that is already being made for it serves it first.
+		if hd := &m.v.hold; hd.job == j && c.now < hd.until && j.sub.CPUs > 0 {
+			need -= int(hd.cpus/j.sub.CPUs + eps)
+			continue
+		} else if hd.job != nil && c.now < hd.until {
+			continue
+		}
+		if o := c.offer(j, m); o != nil {
+			h = append(h, o)
+		}
+	}
+	heap.Init(&h)
+	for need > 0 && len(h) > 0 && c.preempt.stops > 0 {
+		o := h[0]
+		c.take(j, o)
+		need--
+		if next := c.offer(j, o.m); next != nil {
+			h[0] = next
+			heap.Fix(&h, 0)
+		} else {
+			heap.Pop(&h)
+		}
+	}
+	if need > 0 && c.preempt.stops <= 0 {
+		r.lookAt = 0
+		c.dirty = true
+	}
+}
+
+// offer is the cheapest way to make room for one task on a machine.
+type offer struct {
+	m    *machine
+	set  []*slot
+	cost float64
+}
+
+type offers []*offer
+
+func (h offers) Len() int { return len(h) }
+func (h offers) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].cost, h[j].cost), cmp.Compare(h[i].m.id, h[j].m.id)) < 0
+}
+func (h offers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *offers) Push(x any)   { *h = append(*h, x.(*offer)) }
+func (h *offers) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// offer works out what a machine would lose for one more task of a job; nil if
+// nothing can be had there. What is held there already comes on top.
+func (c *Core) offer(j *job, m *machine) *offer {
+	v, mt := m.v, c.types[m.rec.Type]
+	held := hold{}
+	if v.hold.job == j && c.now < v.hold.until {
+		held = v.hold
+	}
+	cpus := mt.CPUs - v.sum.cpus + v.sum.soonCPUs - held.cpus
+	gpus := mt.GPUs - v.sum.gpus + v.sum.soonGPUs - held.gpus
+	mem := mt.MemGB - v.sum.mem + v.sum.soonMem - held.mem
+	enough := func() bool { return cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB }
+	type victim struct {
+		sl   *slot
+		loss float64
+	}
+	o := &offer{m: m}
+	if !v.images[j.sub.Image] {
+		o.cost = 3
+	}
+	if enough() {
+		return o // others are on their way out
+	}
+	var cands []victim
+	for _, sl := range v.list {
+		if sl.job != nil && (sl.owned && sl.job.priority < j.priority || sl.warm) && sl.halt == haltNone && sl.state != slotExited {
+			cands = append(cands, victim{sl, c.lossOf(sl)})
+		}
+	}
+	if len(cands) == 0 {
+		return nil
+	}
+	slices.SortFunc(cands, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.sl.key.job, b.sl.key.job), cmp.Compare(a.sl.idx, b.sl.idx))
+	})
+	for _, x := range cands {
+		if enough() {
+			break
+		}
+		o.set = append(o.set, x.sl)
+		o.cost += x.loss
+		cpus += x.sl.job.sub.CPUs
+		gpus += x.sl.job.sub.GPUs
+		mem += x.sl.job.sub.MemGB
+	}
+	if !enough() {
+		return nil
+	}
+	return o
+}
+
+// take stops an offer's tasks and keeps the room for the job, or a job further
+// down the line would take it and be stopped for it in turn.
+func (c *Core) take(j *job, o *offer) {
+	v := o.m.v
+	for _, sl := range o.set {
+		c.preempt.stops--
+		c.stop(sl, c.haltFor(sl, j))
+		c.log(Debug, "task stopped for a job of higher priority", "task", wire.TaskName(sl.job.id, sl.idx), "machine", o.m.id, "for", j.id)
+	}
+	if v.hold.job != j {
+		v.hold = hold{job: j}
+	}
+	v.hold.cpus += j.sub.CPUs
+	v.hold.gpus += j.sub.GPUs
+	v.hold.mem += j.sub.MemGB
+	v.hold.until = c.now + holdFor
+	c.refresh(c.own.shares[o.m.rec.Share])
+}
+
+// holdFor is how long room is kept: what was stopped may have to save first.
+const holdFor = 8 * micros.Second
+
+// patience is how long a job waits for room to come free by itself before
+// others are stopped for it. Tasks end all the time, and work that is stopped is
+// partly lost.
+func (c *Core) patience(j *job) micros.Micros {
+	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent {
+		if within < 10*micros.Second {
+			return 0
+		}
+		return within / 10
+	}
+	if c.pressed(j) {
+		return 0
+	}
+	return micros.Second
+}
+
+// pressed: the job can still be in time, but only if its tasks start within
+// some seconds.
+func (c *Core) pressed(j *job) bool {
+	due := j.due
+	if within := c.cfg.Finished[j.sub.Class]; within > 0 {
+		due = min(due, micros.Micros(j.rec.AcceptedMS)*micros.Millisecond+within)
+	}
+	slack := due - c.wall - c.runs.expect(j.sub)
+	return slack > 0 && slack < 15*micros.Second
+}
+
+// lossOf is the work, in CPU seconds, that stopping an attempt throws away.
+func (c *Core) lossOf(sl *slot) float64 {
+	if sl.runAt == 0 {
+		return 0
+	}
+	ran := (c.now - sl.runAt).Seconds()
+	if k := sl.job.sub.CheckpointS; k > 0 {
+		ran = min(ran, k) // at most an interval is unsaved
+	}
+	// Its user also waits longer, which counts for more the higher its priority.
+	return ran*sl.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[sl.job.priority] + 4*float64(sl.job.priority)
+}
+
+// haltFor says how a victim is stopped: with time to save, unless the job that
+// waits is wanted started sooner than that.
+func (c *Core) haltFor(sl *slot, j *job) int {
+	if sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning {
+		return haltHard
+	}
+	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent && within < 2*micros.FromSeconds(sl.job.sub.SaveS) {
+		return haltHard
+	}
+	if c.pressed(j) {
+		return haltHard
+	}
+	return haltSave
+}
+
+// stop marks an attempt to be stopped; one that was never sent is just
+// forgotten.
+func (c *Core) stop(sl *slot, how int) {
+	if sl.state == slotAssigned {
+		c.freeSlot(sl, false)
+		return
+	}
+	if sl.halt < how {
+		sl.halt = how
+		sl.haltAt = -micros.Never
+		c.touch(sl.m)
+		c.queueOrder(sl.m)
+	}
+}
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -12,7 +12,7 @@
 	j, v := sl.job, sl.m.v
 	r := j.run
 	v.failJobs[j.id]++
-	c.log(Info, "task failed", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
+	c.log(Debug, "task failed", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
 	if r == nil {
 		return
 	}
@@ -48,7 +48,7 @@
 		v.sick = true
 		v.asideUntil = c.now + c.cfg.Quarantine
 		// What still runs there will fail as well.
-		for _, other := range v.sorted() {
+		for _, other := range v.each() {
 			if other.owned && other.state == slotAssigned {
 				c.freeSlot(other, false)
 			}
@@ -104,7 +104,7 @@
 func (c *Core) drain(m *machine) {
 	v := m.v
 	left := v.takenAt - c.now
-	for _, sl := range v.sorted() {
+	for _, sl := range v.each() {
 		if !sl.owned || sl.job == nil || sl.halt != haltNone || sl.state == slotExited {
 			continue
 		}
--- /dev/null
+++ b/internal/core/rent.go
@@ -0,0 +1,210 @@
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// want sums up what the shares want and have, in CPUs and CPU seconds.
+type want struct{ work, arrival, parallel, have float64 }
+
+// hire is a rental under way. It is sent again, under the same name, until the
+// cloud has answered: it may have been carried out.
+type hire struct {
+	req  wire.Rental
+	next micros.Micros
+	busy bool
+}
+
+type refusal struct {
+	until, pause micros.Micros
+}
+
+// maxHires bounds the rentals under way, maxHire the machines of each.
+const (
+	maxHires = 4
+	maxHire  = 50
+)
+
+// need is how many CPUs are worth having at a price that is ratio times the
+// lowest: the dearer a machine, the longer the work would have to wait without it.
+func (c *Core) need(w want, ratio float64) float64 {
+	return min(max(w.work/(c.cfg.DrainHorizon.Seconds()*ratio), w.arrival/ratio), w.parallel)
+}
+
+// lowestPrice of a CPU over all types and kinds.
+func (c *Core) lowestPrice() float64 {
+	lowest := math.Inf(1)
+	for _, mt := range c.types {
+		for _, spot := range []bool{true, false} {
+			if p := cpuPrice(mt, spot); p > 0 {
+				lowest = min(lowest, p)
+			}
+		}
+	}
+	return lowest
+}
+
+// homeless tells whether no machine of the fleet, up or on its way, could run
+// a group's tasks.
+func (c *Core) homeless(g peer.Group) bool {
+	for _, m := range c.mach {
+		if !m.rec.Retiring && !m.returned && c.hosts(g, m.rec.Type, m.rec.Zone, m.rec.Spot) {
+			return false
+		}
+	}
+	for _, h := range c.fleet.hires {
+		if c.hosts(g, h.req.Type, h.req.Zone, h.req.Spot) {
+			return false
+		}
+	}
+	return true
+}
+
+// rent orders the cheapest machines that the waiting work can use, as long as
+// there are fewer than are worth their price.
+func (c *Core) rent(groups []peer.Group, w want, most int) {
+	f := &c.fleet
+	inZone := map[string]int{}
+	for _, m := range c.mach {
+		inZone[m.rec.Zone]++
+	}
+	for len(f.hires) < maxHires && most > 0 {
+		req, ok := c.nextHire(groups, w, most, inZone)
+		if !ok {
+			return
+		}
+		f.hireSeq++
+		req.Request = fmt.Sprintf("r-%d-%d", c.own.leader.mark, f.hireSeq)
+		h := &hire{req: req}
+		f.hires = append(f.hires, h)
+		w.have += float64(req.Count) * c.types[req.Type].CPUs
+		most -= req.Count
+		inZone[req.Zone] += req.Count
+		c.sendHire(h)
+	}
+}
+
+// nextHire chooses one rental.
+func (c *Core) nextHire(groups []peer.Group, w want, most int, inZone map[string]int) (wire.Rental, bool) {
+	f := &c.fleet
+	// The largest waiting work decides what is rented.
+	slices.SortStableFunc(groups, func(a, b peer.Group) int {
+		return cmp.Compare(float64(b.WorkUS)*b.CPUs, float64(a.WorkUS)*a.CPUs)
+	})
+	type option struct {
+		kind
+		price, unit, cpus float64
+	}
+	lowest := c.lowestPrice()
+	for _, g := range groups {
+		if g.Waiting == 0 {
+			continue
+		}
+		homeless := c.homeless(g)
+		lack := w.parallel - w.have
+		if homeless {
+			lack = max(lack, min(float64(g.Waiting)*g.CPUs, micros.Micros(g.WorkUS).Seconds()*g.CPUs/c.cfg.DrainHorizon.Seconds()), g.CPUs)
+		}
+		if lack <= 0 {
+			continue
+		}
+		var options []option
+		for _, name := range c.index.names {
+			mt := c.types[name]
+			for _, zone := range mt.Zones {
+				for _, spot := range []bool{true, false} {
+					k := kind{typ: name, zone: zone, spot: spot}
+					if mt.CPUs <= 0 || !c.hosts(g, name, zone, spot) || f.refused[k] != nil && c.now < f.refused[k].until {
+						continue
+					}
+					unit := cpuPrice(mt, spot)
+					// What would stand unused is paid as well.
+					options = append(options, option{kind: k, unit: unit, price: unit * mt.CPUs / min(mt.CPUs, max(lack, g.CPUs)), cpus: mt.CPUs})
+				}
+			}
+		}
+		slices.SortStableFunc(options, func(a, b option) int {
+			return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(inZone[a.zone], inZone[b.zone]))
+		})
+		for _, o := range options {
+			deficit := c.need(w, max(o.unit/lowest, 1)) - w.have
+			if homeless {
+				deficit = max(deficit, lack)
+			}
+			if deficit < 0.5 {
+				continue
+			}
+			n := max(1, min(int(math.Ceil(deficit/o.cpus-0.25)), maxHire, most))
+			return wire.Rental{Type: o.typ, Zone: o.zone, Spot: o.spot, Count: n}, true
+		}
+	}
+	return wire.Rental{}, false
+}
+
+func (c *Core) sendHire(h *hire) {
+	f := &c.fleet
+	if h.busy || c.now < h.next {
+		return
+	}
+	mark := c.own.leader.mark
+	h.busy = c.askCloud(h.req, cloudTimeout, func(r Result) {
+		if c.own.leader.mark != mark {
+			return
+		}
+		h.busy = false
+		over := func() {
+			f.hires = slices.DeleteFunc(f.hires, func(o *hire) bool { return o == h })
+			f.planNext = c.now
+		}
+		k := kind{typ: h.req.Type, zone: h.req.Zone, spot: h.req.Spot}
+		body, ok := r.Body.(*wire.MachineNames)
+		switch {
+		case ok && r.Status == 200:
+			over()
+			c.log(Info, "machines rented", "type", k.typ, "zone", k.zone, "spot", k.spot, "wanted", h.req.Count, "got", len(body.Machines))
+			if len(body.Machines) < h.req.Count {
+				c.refuse(k)
+			} else {
+				delete(f.refused, k)
+			}
+			c.homeHired(k, body.Machines)
+		case r.Status == 503 && r.Body == noCapacity:
+			over()
+			c.refuse(k)
+		case r.Status == 400:
+			over()
+			c.refuse(k)
+			c.log(Error, "rental request called malformed", "request", h.req.Request)
+		default:
+			h.next = c.now + c.jitter(2*micros.Second)
+		}
+	})
+}
+
+// noCapacity is the body by which a runtime tells the cloud's "no capacity"
+// from an outage.
+const noCapacity = NoCapacity("no capacity")
+
+// NoCapacity is the Result body of a refused rental.
+type NoCapacity string
+
+// RefusedRental is the Body to give with a 503 that says "no capacity".
+const RefusedRental = noCapacity
+
+func (c *Core) refuse(k kind) {
+	r := c.fleet.refused[k]
+	if r == nil {
+		r = &refusal{}
+		c.fleet.refused[k] = r
+	}
+	r.pause = min(max(2*r.pause, 8*micros.Second), 40*micros.Second)
+	r.until = c.now + c.jitter(r.pause)
+	c.log(Debug, "no more machines of a kind for now", "type", k.typ, "zone", k.zone, "spot", k.spot)
+}
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -108,6 +108,13 @@
 	return rec, covered
 }
 
+// versionPace spaces a job's Versions so that all of a share's jobs together
+// leave most of the writes to what users wait for.
+func (c *Core) versionPace(s *share) micros.Micros {
+	jobs := len(c.queue(s))
+	return max(versionEvery, micros.FromSeconds(float64(jobs)/(c.stateq.writes.rate/2)))
+}
+
 // recordVersion writes a job's newest Version.
 func (c *Core) recordVersion(j *job) {
 	r, s := j.run, c.own.shares[j.share]
@@ -119,7 +126,7 @@
 		return
 	}
 	r.verBusy, r.verDirty = true, false
-	r.verNext = c.now + versionEvery
+	r.verNext = c.now + c.versionPace(s)
 	key := wire.VersionKey(j.id)
 	txn := wire.Txn{
 		If:   []wire.Condition{{Key: ownerKey(s.id), Version: s.mark}, {Key: key, Version: r.verMark}},
@@ -157,14 +164,14 @@
 
 // markSaved lets go of exited tasks whose end is on record now.
 func (c *Core) markSaved(j *job) {
-	for _, m := range c.mach {
-		if m.v == nil {
-			continue
-		}
-		for _, s := range m.v.slots {
-			if s.job == j && s.state == slotExited && s.why == wire.WhyDone && j.run.saved.has(s.idx) {
-				s.acted = true
-			}
+	wait := j.run.ended[:0]
+	for _, sl := range j.run.ended {
+		if j.run.saved.has(sl.idx) {
+			sl.acted = true
+		} else {
+			wait = append(wait, sl)
 		}
 	}
+	clear(j.run.ended[len(wait):])
+	j.run.ended = wait
 }
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -50,34 +50,34 @@
 }
 
 // prefetch fetches urgent images on machines that lack them: first on empty
-// ones, before they are filled, later wherever there is room.
-func (c *Core) prefetch(rooms []*room, used []usage, empty bool) {
-	if !c.canAnswer() {
-		return
+// ones, before they are filled, later wherever there is room. It gives the
+// machines that still have any.
+func (c *Core) prefetch(s *share, free []*machine, empty bool) []*machine {
+	if !c.canAnswer() || len(c.warm) == 0 {
+		return free
 	}
 	for _, w := range c.warm {
 		sub := w.job.sub
 		within := c.cfg.Urgent[sub.Class]
-		if c.now-w.at > warmSpan {
+		if c.now-w.at > warmSpan || w.job.share != s.id && c.shareOf != nil {
 			continue
 		}
 		team := c.cfg.Teams[w.job.team]
-		for _, r := range rooms {
-			mt := c.types[r.m.rec.Type]
-			if !r.fits(sub) || r.m.v.images[sub.Image] || r.fetching[sub.Image] || empty && r.tasks > 0 ||
+		for _, m := range free {
+			mt, v := c.types[m.rec.Type], m.v
+			if v.warmNext > c.now || v.images[sub.Image] || empty && v.sum.tasks > 0 || !c.fits(m, w.job) ||
 				mt.FetchGBPerS <= 0 || micros.FromSeconds(sub.ImageGB/mt.FetchGBPerS) < within/4 ||
-				!c.allowed(w.job, r.m, nil) || r.m.v.warmNext > c.now {
+				!c.allowed(w.job, m, nil) || v.fetches(sub.Image) {
 				continue
 			}
-			u := &used[w.job.team]
-			if u.over(team, sub) {
-				continue
+			if s.used[w.job.team].over(team, sub) {
+				break
 			}
-			c.newAttempt(w.job, 0, r).warm = true
-			r.m.v.warmNext = c.now + 10*micros.Second
-			u.add(sub)
+			c.newAttempt(s, w.job, 0, m).warm = true
+			v.warmNext = c.now + 10*micros.Second
 		}
 	}
+	return free
 }
 
 // warmed takes the state of a prefetching attempt.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,8 @@
 	Deaf     bool     `msgpack:"e,omitempty"` // it does not hear the workers
 	Owns     []Owned  `msgpack:"o,omitempty"`
 	Demand   []Demand `msgpack:"d,omitempty"`
+	// Gone are machines whose return the cloud has confirmed to the sender.
+	Gone []string `msgpack:"g,omitempty"`
 }
 
 // StatusAck answers a Status. Quiet lists the shares of the Status for which
@@ -61,6 +63,10 @@
 	// CPUs are all CPUs of the share's usable machines, Busy those in use.
 	CPUs float64 `msgpack:"c"`
 	Busy float64 `msgpack:"b"`
+	// Booting are the CPUs of machines that have not reported yet.
+	Booting float64 `msgpack:"o,omitempty"`
+	// All is how many machines are on the share's record.
+	All int `msgpack:"l,omitempty"`
 	// RunLeftUS is the work left in running tasks, in CPU microseconds.
 	RunLeftUS int64 `msgpack:"w"`
 	// Guarantee is what its unfinished jobs within their team's guarantee can use.
@@ -86,11 +92,12 @@
 
 // Machine states that an owner reports to the leader.
 const (
-	MachineIdle   = 1 // nothing on it
-	MachineSilent = 2 // not heard of for a while
-	MachineBad    = 3 // to be replaced: it fails or slows tasks, or is being taken away
-	MachineBusy   = 4
-	MachineGoing  = 5 // it takes no more tasks and leaves once it is empty
+	MachineIdle    = 1 // nothing on it
+	MachineSilent  = 2 // not heard of for a while
+	MachineBad     = 3 // to be replaced: it fails or slows tasks, or is being taken away
+	MachineBusy    = 4
+	MachineGoing   = 5 // it takes no more tasks and leaves once it is empty
+	MachineBooting = 6 // rented, and has not reported yet
 )
 
 // Machine is one machine of a share that the leader should know about.
@@ -126,15 +133,15 @@
 	Record []byte `msgpack:"r"` // the record as stored
 }
 
-// Release asks an owner to let a machine go: to another share, or for good. One
+// Release asks an owner to let machines go: to another share, or for good. One
 // that is not idle is let go only if Drain is set, once it is empty; until then
 // it takes no more tasks, as long as the leader goes on asking.
 type Release struct {
-	Machine string `msgpack:"m"`
-	Retire  bool   `msgpack:"r,omitempty"`
-	Drain   bool   `msgpack:"d,omitempty"`
-	Save    bool   `msgpack:"v,omitempty"` // with Drain: stop tasks that can save
-	Share   int    `msgpack:"s"`
+	Machines []string `msgpack:"m"`
+	Retire   bool     `msgpack:"r,omitempty"`
+	Drain    bool     `msgpack:"d,omitempty"`
+	Save     bool     `msgpack:"v,omitempty"` // with Drain: stop tasks that can save
+	Share    int      `msgpack:"s"`
 }
 
 // Encode gives the msgpack form.
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -96,9 +96,10 @@
 		WorkerLease: micros.FromSeconds(cl.Workers.LeaseS),
 		Cancel:      micros.FromSeconds(cl.Workers.CancelS),
 		StateRPS:    cl.State.RPS, WriteRPS: cl.State.WriteRPS,
-		ValueBytes: int(cl.State.ValueKB * 1024),
-		CloudRPS:   cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
-		SilentReturn: micros.FromSeconds(opt.SilentReturnS),
+		ValueBytes: int(cl.State.ValueKB * 1024), TxnOps: cl.State.TxnOps,
+		Asks:     min(max(cl.Resources.Sockets/30, 8), 96),
+		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
+		SilentReturn: silentReturn(opt),
 		DrainHorizon: micros.FromSeconds(opt.DrainHorizonS),
 		IdleReturn:   micros.FromSeconds(opt.IdleReturnS),
 		Quarantine:   micros.FromSeconds(opt.QuarantineS),
@@ -124,6 +125,14 @@
 	return cfg
 }
 
+// silentReturn gives the operators' choice, or says that the core is to derive it.
+func silentReturn(opt config.Options) micros.Micros {
+	if opt.SilentReturnS == nil {
+		return -1
+	}
+	return micros.FromSeconds(*opt.SilentReturnS)
+}
+
 // Run serves until ctx ends.
 func (rt *Runtime) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -1,6 +1,9 @@
 package wire
 
-import "strings"
+import (
+	"strconv"
+	"strings"
+)
 
 // Keys of the state service.
 const (
@@ -8,7 +11,7 @@
 	PrefixOwner   = "ctl/owner/"
 	KeyLeader     = "ctl/leader"
 	KeyTypes      = "ctl/types"
-	PrefixMachine = "ctl/machine/"
+	PrefixFleet   = "ctl/fleet/"
 	PrefixJob     = "job/"
 	PrefixVersion = "version/"
 )
@@ -20,14 +23,29 @@
 	Incarnation uint64 `cbor:"inc"`
 }
 
-// MachineRecord says which share a machine belongs to.
-type MachineRecord struct {
-	Share    int    `cbor:"share"`
-	Retiring bool   `cbor:"retiring,omitempty"`
-	Addr     string `cbor:"addr"`
-	Type     string `cbor:"type"`
-	Zone     string `cbor:"zone"`
-	Spot     bool   `cbor:"spot"`
+// BatchRecord is a set of machines recorded together, with the share that its
+// key names. Machines that differ in nothing but their name share a kind.
+type BatchRecord struct {
+	Kinds    []MachineKind  `cbor:"kinds"`
+	Machines []BatchMachine `cbor:"machines"`
+}
+
+// MachineKind is what many machines have in common.
+type MachineKind struct {
+	_    struct{} `cbor:",toarray"`
+	Type string
+	Zone string
+	Spot bool
+}
+
+// BatchMachine is a machine of a batch. The address may be missing until it is
+// known; a retiring machine takes no more tasks and is to be returned.
+type BatchMachine struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Addr     string
+	Kind     int
+	Retiring bool
 }
 
 // JobRecord is an accepted job. A finished one keeps only what users may still
@@ -67,8 +85,21 @@
 // VersionKey is where a job's newest Version stands.
 func VersionKey(id string) string { return PrefixVersion + id }
 
-// MachineKey is where a machine's record stands.
-func MachineKey(id string) string { return PrefixMachine + id }
+// BatchKey is where a batch of a share's machines stands.
+func BatchKey(share int, name string) string {
+	return PrefixFleet + strconv.Itoa(share) + "/" + name
+}
+
+// ParseBatchKey gives the share and the name of a batch.
+func ParseBatchKey(key string) (share int, name string, ok bool) {
+	rest, ok := strings.CutPrefix(key, PrefixFleet)
+	if !ok {
+		return 0, "", false
+	}
+	num, name, ok := strings.Cut(rest, "/")
+	share, err := strconv.Atoi(num)
+	return share, name, ok && err == nil && share >= 0 && name != ""
+}
 
 // UsableKey tells whether the state service takes a key.
 func UsableKey(key string) bool {
