An owner without the state service frees nothing by lapsed leases; troubles and size tested

Until R+L the argument holds, after it only a successor can know; so nothing is freed by time any more then.

The simulation has the new troubles (deaf machines, late copies, a node left with its workers only, quick returns in a row), plays a grown plan, and checks that jobs stay known, are served and begin in time. Tables for each trouble; a count of looked-at machines, jobs and attempts guards the work of a report.

Ruled out: late copies as the cause (the report was an original one).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -211,12 +211,15 @@
 	orders   orderQueue
 	preempt  preempting
 	round    uint64 // of observe
-	scratch  []scored
-	types    map[string]wire.MachineType
-	index    typeIndex
-	runs     estimates
-	warm     []warmth
-	heard    map[string]micros.Micros // machines that reported here but belong elsewhere
+	// looks counts machines, jobs and attempts looked at, so that a test can tell
+	// how work grows.
+	looks   uint64
+	scratch []scored
+	types   map[string]wire.MachineType
+	index   typeIndex
+	runs    estimates
+	warm    []warmth
+	heard   map[string]micros.Micros // machines that reported here but belong elsewhere
 
 	teamOf   map[string]int
 	shareOf  []int // by team; nil when jobs are parted
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -484,7 +484,7 @@
 	}
 	c.log(Debug, "fleet", "have", w.have, "busy", busy, "booting", booting, "work", w.work, "arrival", w.arrival, "parallel", w.parallel)
 	w.have += booting
-	c.rent(groups, w, c.cfg.MaxMachines-count)
+	c.rent(demand, groups, w, c.cfg.MaxMachines-count)
 	c.level(demand)
 	c.returnIdle(demand, w, count >= c.cfg.MaxMachines)
 	c.consolidate(demand, w)
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -33,6 +33,7 @@
 	stateDown, peersDown bool
 	// lose swallows the answers of transactions that touch a key.
 	lose string
+	lost []Call
 	held []Call
 	// listed is what the cloud lists.
 	listed []wire.ListedMachine
@@ -154,7 +155,8 @@
 	case wire.Txn:
 		status, body := h.txn(r)
 		if h.lose != "" && slices.ContainsFunc(r.Then, func(c wire.Change) bool { return strings.HasPrefix(c.Put+c.Delete, h.lose) }) {
-			return // applied, but the answer is lost
+			h.lost = append(h.lost, c) // applied, but the answer is lost
+			return
 		}
 		result(status, body)
 	}
@@ -277,6 +279,15 @@
 	return out
 }
 
+// giveUp ends the calls whose answers were lost.
+func (h *harness) giveUp() {
+	lost := h.lost
+	h.lost = nil
+	for _, c := range lost {
+		h.step(Result{ID: c.ID})
+	}
+}
+
 func (h *harness) state(id string) string {
 	a := h.poll(id)
 	if b, ok := a.Body.(wire.JobAnswer); ok {
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -186,6 +186,11 @@
 		id          string
 		cpus, price float64
 		since       micros.Micros
+		useless     bool // something waits, and none of it can use the machine
+	}
+	waiting := false
+	for _, d := range demand {
+		waiting = waiting || waitingCPUs(d) > 0
 	}
 	var list []idle
 	for _, d := range demand {
@@ -195,7 +200,11 @@
 				continue
 			}
 			mt := c.types[rec.rec.Type]
-			list = append(list, idle{m.ID, mt.CPUs, cpuPrice(mt, rec.rec.Spot), micros.Micros(m.SinceUS)})
+			useless := waiting
+			for _, o := range demand {
+				useless = useless && !c.useful(o, rec)
+			}
+			list = append(list, idle{m.ID, mt.CPUs, cpuPrice(mt, rec.rec.Spot), micros.Micros(m.SinceUS), useless})
 		}
 	}
 	slices.SortFunc(list, func(a, b idle) int {
@@ -210,7 +219,7 @@
 		if surplus-i.cpus >= reserve {
 			keep = min(keep, 2*micros.Second)
 		}
-		if surplus >= i.cpus && i.since >= keep || pressed && i.since >= 5*micros.Second {
+		if (surplus >= i.cpus || i.useless) && i.since >= keep || pressed && i.since >= 5*micros.Second {
 			w.have -= i.cpus
 			c.askRelease(i.id, peer.Release{Retire: true})
 		}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -352,6 +352,7 @@
 	}
 	adopt := false
 	for _, sl := range v.each() {
+		c.looks++
 		if sl.listed == c.round {
 			adopt = adopt || !sl.owned && !sl.acted
 			continue
@@ -643,6 +644,7 @@
 // houseMachine looks at one machine, and tells whether it is to be released now.
 func (c *Core) houseMachine(s *share, m *machine) bool {
 	v := m.v
+	c.looks++
 	if m.returned {
 		return false
 	}
@@ -651,7 +653,10 @@
 		if !v.settled {
 			bound = max(s.freeAt, v.answered+c.bounds.WorkerGone, v.settledAt+c.bounds.WorkerGone)
 		}
-		if c.now >= bound {
+		// Once another node could own the share, it may have answered the machine
+		// and so renewed its lease (ran_twice in the grown simulation: a node that
+		// had lost the state service and its peers, but not its workers).
+		if c.now >= bound && c.canAnswer() {
 			c.freeAll(m, "its lease has run out", false)
 			v.gone, v.settled, v.doubt = true, false, false
 			v.reach = reach{}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -59,6 +59,7 @@
 	clear(used)
 	v.sum = tally{used: used}
 	for _, sl := range v.list {
+		c.looks++
 		c.addTo(&v.sum, sl)
 	}
 	if v.doubt || v.sum.stray {
@@ -240,6 +241,7 @@
 	s.settled = c.allSettled(s)
 	var free []*machine
 	for _, m := range s.machines {
+		c.looks++
 		if m.v == nil || !c.usable(m) {
 			if m.v != nil && m.v.restUntil > c.now {
 				c.wakeIn(m.v.restUntil - c.now)
@@ -255,6 +257,7 @@
 	var full []shape // shapes for which no room was found
 	c.preempt.begin()
 	for i, j := range c.queue(s) {
+		c.looks++
 		if !c.runnable(s, j) {
 			continue
 		}
@@ -337,6 +340,7 @@
 	mt := c.types[m.rec.Type]
 	looked := 0
 	for _, j := range c.queue(s) {
+		c.looks++
 		if mt.CPUs-v.sum.cpus <= eps || looked >= maxLooked {
 			return
 		}
@@ -417,6 +421,7 @@
 func (c *Core) candidates(j *job, free []*machine) []*machine {
 	list := c.scratch[:0]
 	for _, m := range free {
+		c.looks++
 		if c.fits(m, j) && c.allowed(j, m, nil) {
 			list = append(list, scored{m, c.score(j, m)})
 		}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -50,6 +50,7 @@
 	zones := c.zonesOf(j)
 	var h offers
 	for _, m := range s.machines {
+		c.looks++
 		if m.v == nil || !c.usable(m) || !c.allowed(j, m, zones) || j.run.fails[m.id] > 0 {
 			continue
 		}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -51,32 +51,72 @@
 	return lowest
 }
 
-// homeless tells whether no machine of the fleet, up or on its way, could run
-// a group's tasks.
-func (c *Core) homeless(g peer.Group) bool {
+// choosy tells whether a group's tasks can't run on every kind of machine.
+func (c *Core) choosy(g peer.Group) bool {
+	for _, name := range c.index.names {
+		for _, zone := range c.types[name].Zones {
+			if !c.hosts(g, name, zone, true) || !c.hosts(g, name, zone, false) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// lackOf is how many CPUs are wanted for a choosy group alone: the fleet may be
+// large enough and yet have none that its tasks can use.
+func (c *Core) lackOf(g peer.Group, free map[kind]float64) float64 {
+	waiting := float64(g.Waiting) * g.CPUs
+	lack := min(waiting, max(micros.Micros(g.WorkUS).Seconds()*g.CPUs/c.cfg.DrainHorizon.Seconds(), g.CPUs))
+	for k, cpus := range free {
+		if c.hosts(g, k.typ, k.zone, k.spot) {
+			lack -= cpus
+		}
+	}
+	return lack
+}
+
+// freeKinds sums up the CPUs of machines that idle or are on their way, by kind.
+func (c *Core) freeKinds(demand map[int]*peer.Demand) map[kind]float64 {
+	f := &c.fleet
+	free := map[kind]float64{}
+	for _, d := range demand {
+		for _, m := range d.Machines {
+			if rec := c.mach[m.ID]; rec != nil && m.State == peer.MachineIdle {
+				free[rec.kind()] += c.types[rec.rec.Type].CPUs
+			}
+		}
+	}
 	for _, m := range c.mach {
-		if !m.rec.Retiring && !m.returned && c.hosts(g, m.rec.Type, m.rec.Zone, m.rec.Spot) {
-			return false
+		if l, ok := f.listed[m.id]; (!ok || l.State == wire.MachineBooting) && !m.rec.Retiring && !m.returned && !c.heardOf(m.id) {
+			free[m.kind()] += c.types[m.rec.Type].CPUs
 		}
 	}
-	for _, h := range c.fleet.hires {
-		if c.hosts(g, h.req.Type, h.req.Zone, h.req.Spot) {
-			return false
+	for _, h := range f.hires {
+		free[kind{h.req.Type, h.req.Zone, h.req.Spot}] += float64(h.req.Count) * c.types[h.req.Type].CPUs
+	}
+	for _, cr := range f.creating {
+		for _, m := range cr.rec.Machines {
+			k := cr.rec.Kinds[m.Kind]
+			free[kind{k.Type, k.Zone, k.Spot}] += c.types[k.Type].CPUs
 		}
 	}
-	return true
+	return free
 }
 
+func (m *machine) kind() kind { return kind{m.rec.Type, m.rec.Zone, m.rec.Spot} }
+
 // rent orders the cheapest machines that the waiting work can use, as long as
 // there are fewer than are worth their price.
-func (c *Core) rent(groups []peer.Group, w want, most int) {
+func (c *Core) rent(demand map[int]*peer.Demand, groups []peer.Group, w want, most int) {
 	f := &c.fleet
+	free := c.freeKinds(demand)
 	inZone := map[string]int{}
 	for _, m := range c.mach {
 		inZone[m.rec.Zone]++
 	}
 	for len(f.hires) < maxHires && most > 0 {
-		req, ok := c.nextHire(groups, w, most, inZone)
+		req, ok := c.nextHire(groups, w, most, inZone, free)
 		if !ok {
 			return
 		}
@@ -85,6 +125,7 @@
 		h := &hire{req: req}
 		f.hires = append(f.hires, h)
 		w.have += float64(req.Count) * c.types[req.Type].CPUs
+		free[kind{req.Type, req.Zone, req.Spot}] += float64(req.Count) * c.types[req.Type].CPUs
 		most -= req.Count
 		inZone[req.Zone] += req.Count
 		c.sendHire(h)
@@ -92,7 +133,7 @@
 }
 
 // nextHire chooses one rental.
-func (c *Core) nextHire(groups []peer.Group, w want, most int, inZone map[string]int) (wire.Rental, bool) {
+func (c *Core) nextHire(groups []peer.Group, w want, most int, inZone map[string]int, free map[kind]float64) (wire.Rental, bool) {
 	f := &c.fleet
 	// The largest waiting work decides what is rented.
 	slices.SortStableFunc(groups, func(a, b peer.Group) int {
@@ -107,10 +148,10 @@
 		if g.Waiting == 0 {
 			continue
 		}
-		homeless := c.homeless(g)
-		lack := w.parallel - w.have
-		if homeless {
-			lack = max(lack, min(float64(g.Waiting)*g.CPUs, micros.Micros(g.WorkUS).Seconds()*g.CPUs/c.cfg.DrainHorizon.Seconds()), g.CPUs)
+		lack, own := w.parallel-w.have, 0.0
+		if c.choosy(g) {
+			own = c.lackOf(g, free)
+			lack = max(lack, own)
 		}
 		if lack <= 0 {
 			continue
@@ -134,10 +175,7 @@
 			return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(inZone[a.zone], inZone[b.zone]))
 		})
 		for _, o := range options {
-			deficit := c.need(w, max(o.unit/lowest, 1)) - w.have
-			if homeless {
-				deficit = max(deficit, lack)
-			}
+			deficit := max(c.need(w, max(o.unit/lowest, 1))-w.have, own)
 			if deficit < 0.5 {
 				continue
 			}
--- /dev/null
+++ b/internal/core/scale_test.go
@@ -0,0 +1,149 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// bigHarness is an owner of one share with many machines, all of them full, and
+// many open jobs that wait.
+func bigHarness(tb testing.TB, machines, jobs, tasks int) *harness {
+	h := &harness{now: sec, keys: map[string]wire.KeyValue{}, answers: map[ReplyID]Answer{}}
+	cfg := Config{
+		Label: "n-0", Shares: 1, Teams: []Team{{Name: "t"}, {Name: "u"}},
+		Lease: 4 * sec, ReportEvery: 10 * sec, WorkerLease: 45 * sec, Cancel: 70 * sec,
+		StateRPS: 10_000, WriteRPS: 10_000, ValueBytes: 32 << 10, TxnOps: 24, Asks: 64, CloudRPS: 100, ListLag: sec,
+		DrainHorizon: 30 * sec, IdleReturn: micros.Minute, Quarantine: 30 * sec, MaxMachines: machines,
+		Urgent: map[string]micros.Micros{},
+	}
+	h.c = New(cfg, 1)
+	h.run(sec)
+	for i := range machines {
+		h.listed = append(h.listed, wire.ListedMachine{ID: machineName(i), Addr: machineName(i), Type: "m", Zone: "a", State: wire.MachineRunning, AgeS: 1})
+	}
+	h.c.fleet.listNext, h.c.fleet.planNext = h.now, h.now+120*ms
+	h.run(sec)
+	if len(h.c.mach) != machines {
+		tb.Fatalf("%d machines on record, want %d", len(h.c.mach), machines)
+	}
+	h.c.fleet.planNext, h.c.fleet.listNext = micros.Never, micros.Never
+	for i := range jobs {
+		h.submit(jobOf(fmt.Sprintf("job-%06d", i), tasks))
+		if len(h.open) > 0 {
+			h.open = h.open[:0]
+		}
+	}
+	for i := range machines {
+		h.fill(i)
+	}
+	return h
+}
+
+func machineName(i int) string { return fmt.Sprintf("vm-%06d", i) }
+
+// fill brings a machine's first report, and the one that shows its starts.
+func (h *harness) fill(i int) {
+	_, body := h.checkin(report(machineName(i), 1, 1, 0))
+	h.checkin(report(machineName(i), 1, 2, body.Token, shown(starts(body.Commands), wire.TaskRunning)...))
+}
+
+func shown(cmds []wire.Command, state string) (out []wire.TaskReport) {
+	for _, c := range cmds {
+		out = append(out, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: state})
+	}
+	return out
+}
+
+// turn is one task's end on a machine and the start that follows.
+func (h *harness) turn(i int) {
+	m := h.c.mach[machineName(i)]
+	v := m.v
+	var tasks []wire.TaskReport
+	for _, sl := range v.list {
+		t := wire.TaskReport{Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, State: wire.TaskRunning}
+		if len(tasks) == 0 && sl.state != slotExited {
+			t.State, t.Why = wire.TaskExited, wire.WhyDone
+		} else if sl.state == slotExited {
+			continue
+		}
+		tasks = append(tasks, t)
+	}
+	h.checkin(report(m.id, v.session, v.seq+1, v.token, tasks...))
+}
+
+// TestWorkPerReport: the work of a report does not grow with machines or jobs.
+// It counts what is looked at, not time.
+func TestWorkPerReport(t *testing.T) {
+	work := func(machines, jobs, tasks int) float64 {
+		h := bigHarness(t, machines, jobs, tasks)
+		before := h.c.looks
+		const turns = 200
+		for i := range turns {
+			h.c.lastHouse = h.now // what time alone brings is counted below
+			h.turn(i % machines)
+		}
+		return float64(h.c.looks-before) / turns
+	}
+	small := work(50, 20, 500)
+	for _, tc := range []struct {
+		name                  string
+		machines, jobs, tasks int
+	}{
+		{"many machines", 2200, 20, 500},
+		{"many jobs", 200, 300, 200},
+		{"long arrays", 200, 20, 20_000},
+	} {
+		if got := work(tc.machines, tc.jobs, tc.tasks); got > 2*small+10 {
+			t.Errorf("%s: a report looks at %.0f machines, jobs and attempts, at a small size at %.0f", tc.name, got, small)
+		}
+	}
+}
+
+// TestWorkPerRound: a round over all machines looks at each of them a few
+// times, however many tasks wait.
+func TestWorkPerRound(t *testing.T) {
+	for _, tc := range []struct{ machines, jobs, tasks int }{{200, 20, 500}, {2200, 20, 500}, {2200, 300, 500}, {700, 20, 20_000}} {
+		h := bigHarness(t, tc.machines, tc.jobs, tc.tasks)
+		before := h.c.looks
+		h.now += micros.Second
+		h.c.dirty = true
+		h.step(Tick{})
+		if got, most := h.c.looks-before, uint64(10*tc.machines+3*tc.jobs+100); got > most {
+			t.Errorf("%d machines, %d jobs of %d tasks: a step looks at %d, want at most %d", tc.machines, tc.jobs, tc.tasks, got, most)
+		}
+	}
+}
+
+// BenchmarkReport shows how a report's cost grows; read allocations and the
+// ratio between sizes, not the time.
+func BenchmarkReport(b *testing.B) {
+	for _, size := range []struct{ machines, jobs, tasks int }{{50, 20, 2000}, {700, 100, 1000}, {2200, 300, 1000}} {
+		b.Run(fmt.Sprintf("%d machines %d jobs", size.machines, size.jobs), func(b *testing.B) {
+			h := bigHarness(b, size.machines, size.jobs, size.tasks)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				h.turn(i % size.machines)
+			}
+		})
+	}
+}
+
+// BenchmarkRound is a whole round with everything full.
+func BenchmarkRound(b *testing.B) {
+	for _, machines := range []int{50, 700, 2200} {
+		b.Run(fmt.Sprintf("%d machines", machines), func(b *testing.B) {
+			h := bigHarness(b, machines, 100, 1000)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				h.now += 100 * ms
+				h.c.dirty = true
+				h.step(Tick{})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/trouble_test.go
@@ -0,0 +1,391 @@
+package core
+
+import (
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// A controller without the state service and the others, but with its workers:
+// a machine unheard here may report to a successor, which renews its lease, so
+// its tasks are not started elsewhere (ran_twice in the grown simulation).
+func TestUnheardBySuccessorsGrace(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		alone bool // it has lost the state service
+	}{
+		{"with the state service: restarted once the lease has run out", false},
+		{"without it: a successor may have answered the machine", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Cancel = 40 * sec; c.SilentReturn = 0; c.Peers = []string{"n-1"} })
+			h.run(2 * sec)
+			token := h.settle("vm-1")
+			a := h.startOne(token)
+			h.checkin(report("vm-1", 1, 11, token, wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskRunning}))
+			other := h.settle("vm-2")
+			h.c.fleet.planNext = micros.Never // keep the idle machine
+			h.stateDown, h.peersDown = tc.alone, tc.alone
+			started := false
+			for seq := uint64(20); seq < 50; seq++ {
+				h.run(sec / 2)
+				status, body := h.checkin(report("vm-2", 1, seq, other))
+				if status != 200 {
+					t.Fatalf("report answered %d: the stretch for commands is over too early", status)
+				}
+				started = started || len(starts(body.Commands)) > 0 || len(h.orders()) > 0
+			}
+			if started == tc.alone {
+				t.Errorf("started elsewhere: %v", started)
+			}
+		})
+	}
+}
+
+// Without the state service and the others a controller lets its machines go
+// after R+L+X, is not ready, and tells users nothing but final states.
+func TestAloneWithItsWorkers(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"} })
+	h.run(2 * sec)
+	token := h.settle("vm-1")
+	h.submit(jobOf("job-000001", 1))
+	h.submit(jobOf("job-000002", 1))
+	h.ask(func(r ReplyID) Input { return Withdraw{Reply: r, ID: "job-000002"} })
+	h.stateDown, h.peersDown = true, true
+	last := h.now
+	b := h.c.bounds
+	seq := uint64(20)
+	for h.now < last+b.Command+2*sec {
+		h.run(sec / 2)
+		seq++
+		status, _ := h.checkin(report("vm-1", 1, seq, token))
+		if h.now > last+b.Command && status == 200 {
+			t.Fatalf("report answered 200 %v s after the last renewal, bound %v s", (h.now - last).Seconds(), b.Command.Seconds())
+		}
+	}
+	if a := h.ask(func(r ReplyID) Input { return Ready{Reply: r} }); a.Status != 503 {
+		t.Errorf("ready: %d, want 503: users must find the others", a.Status)
+	}
+	if a := h.poll("job-000001"); a.Status == 200 {
+		t.Errorf("tells of an open job from memory: %v", a.Body)
+	}
+	if s := h.state("job-000002"); s != wire.StateCancelled {
+		t.Errorf("a final state is called %q", s)
+	}
+}
+
+// A machine whose reports arrive while answers and commands don't reach it gets
+// no more tasks and no more answers. What it holds counts until its lease has
+// provably ended.
+func TestHeardButNotReached(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		session bool // it reports a new session
+	}{{"until the bound since the last answer", false}, {"until a new session shows", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.SilentReturn = 0 })
+			token := h.settle("vm-1")
+			a := h.startOne(token)
+			running := wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskRunning}
+			h.checkin(report("vm-1", 1, 11, token, running))
+			h.submit(jobOf("job-000002", 8)) // three find room beside the first
+			h.dropCalls()
+			seq, last := uint64(11), h.now
+			statuses := map[int]int{}
+			for range 8 {
+				h.run(sec / 2)
+				h.dropCalls()
+				seq++
+				status, body := h.checkin(report("vm-1", 1, seq, token, running)) // never shows the starts
+				statuses[status]++
+				if status == 200 {
+					last = h.now
+				} else if len(body.Commands) > 0 {
+					t.Errorf("commands with %d", status)
+				}
+			}
+			if statuses[200] != maxUnshown || statuses[503] != 8-maxUnshown {
+				t.Fatalf("answers %v, want %d of 200 and then 503 only", statuses, maxUnshown)
+			}
+			other := h.settle("vm-2")
+			h.submit(jobOf("job-000003", 8)) // vm-2 is never empty
+			bound := last + h.c.bounds.WorkerGone
+			if tc.session {
+				bound = h.now
+				h.checkin(report("vm-1", 2, seq+1, token))
+				if h.c.outOfReach(h.c.mach["vm-1"]) {
+					t.Error("still out of reach in a new session")
+				}
+			}
+			for s := uint64(20); h.now < bound+5*sec; s++ {
+				h.run(sec / 4)
+				h.dropCalls()
+				_, body := h.checkin(report("vm-2", 1, s, other))
+				for _, c := range starts(body.Commands) {
+					if c.Task != running.Task {
+						continue
+					}
+					if h.now < bound {
+						t.Fatalf("restarted %v s after the last 200", (h.now - last).Seconds())
+					}
+					return
+				}
+			}
+			t.Error("never restarted")
+		})
+	}
+}
+
+// What a report must show of the answer before it.
+func TestReach(t *testing.T) {
+	run := wire.Command{Op: wire.OpStart, Task: "job-000001/0", Attempt: 5}
+	clear := wire.Command{Op: wire.OpForget, Task: "job-000001/0", Attempt: 5}
+	halt := wire.Command{Op: wire.OpStop, Task: "job-000001/0", Attempt: 5}
+	listed := func(state string) []wire.TaskReport {
+		return []wire.TaskReport{{Task: "job-000001/0", Attempt: 5, State: state}}
+	}
+	for _, tc := range []struct {
+		name        string
+		token       uint64 // told, not shown before
+		cmd         wire.Command
+		rep         wire.Report
+		shown, sure bool
+	}{
+		{"nothing to show", 0, wire.Command{}, wire.Report{Token: 7}, false, false},
+		{"new token shown", 9, wire.Command{}, wire.Report{Token: 9}, true, true},
+		{"new token not shown", 9, run, wire.Report{Token: 7}, false, true},
+		{"start shown", 0, run, wire.Report{Tasks: listed(wire.TaskFetching)}, true, true},
+		{"start missing", 0, run, wire.Report{}, false, true},
+		{"cleared", 0, clear, wire.Report{}, true, true},
+		{"not cleared", 0, clear, wire.Report{Tasks: listed(wire.TaskExited)}, false, true},
+		{"halted", 0, halt, wire.Report{Tasks: listed(wire.TaskSaving)}, true, true},
+		{"goes on", 0, halt, wire.Report{Tasks: listed(wire.TaskRunning)}, false, true},
+	} {
+		r := reach{token: tc.token, cmd: tc.cmd}
+		if shown, sure := r.shows(&tc.rep); shown != tc.shown || sure != tc.sure {
+			t.Errorf("%s: %v %v, want %v %v", tc.name, shown, sure, tc.shown, tc.sure)
+		}
+	}
+}
+
+// Late copies of reports change nothing: no state, no lease arithmetic, no sign
+// of life, no settling, no homing.
+func TestLateCopies(t *testing.T) {
+	h := newHarness(t, nil)
+	token := h.settle("vm-1")
+	a := h.startOne(token)
+	running := wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskRunning}
+	h.checkin(report("vm-1", 1, 11, token, running))
+	v := h.c.mach["vm-1"].v
+	heard, answered := v.heard, v.answered
+	for _, tc := range []struct {
+		name string
+		rep  wire.Report
+	}{
+		{"a copy of the newest", report("vm-1", 1, 11, token, running)},
+		{"an older one, from before the start", report("vm-1", 1, 3, token)},
+		{"one that showed no token yet", report("vm-1", 1, 1, 0)},
+	} {
+		h.run(sec)
+		if status, _ := h.checkin(tc.rep); status != 503 {
+			t.Errorf("%s: answered %d, want 503", tc.name, status)
+		}
+		if v.heard != heard || v.answered != answered || v.list[0].state != slotRunning {
+			t.Errorf("%s: changed something", tc.name)
+		}
+	}
+	// A new owner has no view. A copy from before its claim settles nothing.
+	h.putMachines("m-1-1", "vm-3")
+	h.run(sec)
+	old := h.c.token(h.c.own.shares[0], h.c.mach["vm-3"]) - 1
+	h.checkin(report("vm-3", 1, 50, old, wire.TaskReport{Task: "job-000009/0", Attempt: 3, State: wire.TaskRunning}))
+	if v := h.c.mach["vm-3"].v; v.settled || len(v.list) != 0 {
+		t.Error("settled by a report from before the claim")
+	}
+	// A machine that was returned does not come back to the record by a copy,
+	// neither at the leader that returned it nor at one that never heard of it.
+	for _, known := range []bool{true, false} {
+		if known {
+			h.c.fleet.returned["vm-8"] = h.now
+		}
+		h.dropCalls()
+		h.checkin(report("vm-8", 1, 4, 3))
+		for range 4 {
+			h.run(sec)
+			h.dropCalls() // nobody answers at its address
+		}
+		if h.c.mach["vm-8"] != nil {
+			t.Error("a copy brought a returned machine back to the record")
+		}
+		delete(h.c.fleet.returned, "vm-8")
+	}
+	// An unlisted machine that answers for itself is homed.
+	h.checkin(report("vm-8", 1, 5, 0))
+	for _, call := range h.open {
+		if _, ok := call.Req.(Show); ok && call.Addr == "vm-8" {
+			rep := report("vm-8", 1, 6, 0)
+			h.step(Result{ID: call.ID, Status: 200, Body: &rep})
+		}
+	}
+	h.run(2 * sec)
+	if h.c.mach["vm-8"] == nil {
+		t.Error("a machine that answers for itself was not homed")
+	}
+}
+
+// A process that is back within a moment finds keys of its former self: it
+// replaces them, and what that one had sent does nothing when it arrives.
+func TestBackAtOnce(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"}; c.Shares = 1 })
+	key := ownerKey(0)
+	stale := h.keys[key].Version - 1
+	lease := h.c.own.lease
+	// The former process's claim arrives only now, on a free key's condition.
+	value, err := wire.Encode(wire.OwnerRecord{Label: "n-0", Incarnation: 999})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := h.txn(wire.Txn{If: []wire.Condition{{Key: key}}, Then: []wire.Change{{Put: key, Value: value}}}); status != 409 {
+		t.Fatalf("a late claim got %d", status)
+	}
+	// It got there first: the key names our label, but another incarnation.
+	h.put(key, wire.OwnerRecord{Label: "n-0", Incarnation: 999})
+	h.run(sec)
+	s := h.c.own.shares[0]
+	if !s.active || s.rec.Incarnation != lease || s.mark <= stale {
+		t.Fatalf("holds %+v, active %v", s.rec, s.active)
+	}
+	if got := h.keys[key].Version; got != s.mark {
+		t.Errorf("the key's mark is %d, ours %d", got, s.mark)
+	}
+	// A late write of the former self's, under its own mark, can't apply.
+	if status, _ := h.txn(wire.Txn{If: []wire.Condition{{Key: key, Version: stale}}, Then: []wire.Change{{Delete: key}}}); status != 409 {
+		t.Errorf("a late write under an old mark got %d", status)
+	}
+}
+
+// Thresholds of silence follow from the settings: where reports come 10 s apart,
+// one that was lost makes no machine look dead.
+func TestSilence(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		report, lease micros.Micros
+		given         micros.Micros
+		want          micros.Micros
+	}{
+		{"small settings", 3 * sec, 19 * sec, -1, 13250 * ms},
+		{"grown settings", 10 * sec, 45 * sec, -1, 22 * sec},
+		{"slow reports", 30 * sec, 120 * sec, -1, 47 * sec},
+		{"the operators' own", 10 * sec, 45 * sec, 30 * sec, 30 * sec},
+	} {
+		c := New(Config{Label: "a", Shares: 1, Teams: []Team{{Name: "t"}}, ReportEvery: tc.report, WorkerLease: tc.lease, SilentReturn: tc.given, StateRPS: 10, WriteRPS: 10, CloudRPS: 10}, 1)
+		if got := c.silentReturn(); got != tc.want {
+			t.Errorf("%s: returned after %v s, want %v s", tc.name, got.Seconds(), tc.want.Seconds())
+		}
+		longest := tc.report * 5 / 4
+		if c.late() <= longest {
+			t.Errorf("%s: late after %v s, a report may take %v s", tc.name, c.late().Seconds(), longest.Seconds())
+		}
+		// The next node is tried 1 s after an answer was missed for 4 s.
+		if lost := longest + 5*sec; c.silentReturn() <= lost {
+			t.Errorf("%s: one lost report makes a machine look dead", tc.name)
+		}
+		if c.silentReturn() >= tc.lease {
+			t.Errorf("%s: a lease runs out first", tc.name)
+		}
+	}
+}
+
+// Batches: machines move in one transaction that drops them from one and adds
+// them to another, and an unanswered one is settled before anything starts.
+func TestBatchMove(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		lose bool
+	}{{"answered", false}, {"applied, the answer lost", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Shares = 2; c.Teams = []Team{{Name: "t", CPUs: 8}, {Name: "u", CPUs: 4}} })
+			for _, id := range []string{"vm-1", "vm-2", "vm-3"} {
+				h.list(id)
+				h.checkin(report(id, 1, 1, 0))
+			}
+			m := h.c.mach["vm-1"]
+			from := m.rec.Share
+			m.batch.next = 0
+			if tc.lose {
+				h.lose = wire.PrefixFleet
+				h.deafTo = wire.PrefixControl
+			}
+			h.c.fleet.planNext = micros.Never
+			h.c.release(peer.Release{Machines: []string{"vm-1"}, Share: 1 - from})
+			h.step(Tick{})
+			if tc.lose {
+				if v := m.v; !v.leaving {
+					t.Error("may be given tasks while its move is open")
+				}
+				h.giveUp()
+				if v := m.v; v == nil || v.unclear == 0 {
+					t.Error("given up as settled although the move may stand")
+				}
+				h.lose, h.deafTo = "", ""
+				h.run(sec)
+			}
+			if got := h.c.mach["vm-1"]; got == nil || got.rec.Share != 1-from {
+				t.Fatalf("not moved: %+v", got)
+			}
+			in := 0
+			for _, b := range h.c.batches {
+				for _, o := range b.list {
+					if o.id == "vm-1" {
+						in++
+					}
+				}
+			}
+			if in != 1 {
+				t.Errorf("stands in %d batches", in)
+			}
+		})
+	}
+}
+
+// Machines are recorded in as few writes as possible, while they boot, and an
+// unanswered record is sent again under its own key only.
+func TestBatchCreation(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.MaxMachines = 1000; c.Shares = 1 })
+	var ids []string
+	for i := range 120 {
+		ids = append(ids, "vm-x"+string(rune('a'+i/26))+string(rune('a'+i%26)))
+	}
+	h.lose = wire.PrefixFleet
+	before := h.rev
+	h.c.homeHired(kind{"m", "a", true}, ids)
+	h.run(200 * ms)
+	if n := h.rev - before; n != 3 {
+		t.Errorf("%d transactions for 120 machines, want 3", n)
+	}
+	h.lose = ""
+	h.giveUp()
+	h.run(4 * sec)
+	if len(h.c.fleet.creating) != 0 || len(h.c.mach) != 120 {
+		t.Errorf("%d records open, %d machines", len(h.c.fleet.creating), len(h.c.mach))
+	}
+	if len(h.c.batches) != 3 {
+		t.Errorf("%d batches, want 3", len(h.c.batches))
+	}
+	// Known before it boots, and commanded by nobody else: its first report is
+	// answered with tasks at once.
+	h.submit(jobOf("job-000001", 2))
+	_, body := h.checkin(report(ids[0], 1, 1, 0))
+	if len(starts(body.Commands)) != 2 {
+		t.Errorf("first report answered with %v", body.Commands)
+	}
+	// Unless it shows that somebody has commanded it.
+	h.submit(jobOf("job-000002", 2))
+	h.dropCalls()
+	_, body = h.checkin(report(ids[1], 1, 1, 1))
+	if len(starts(body.Commands)) != 0 {
+		t.Errorf("a machine that shows a foreign token is given %v", body.Commands)
+	}
+}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -5,8 +5,10 @@
 package standin
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -26,7 +28,10 @@
 	Teams    []core.Team
 	Machines int
 	Jobs     int
-	Faults   bool
+	// Grown makes arrays large and machines many, and lets workers look at their
+	// tasks less often.
+	Grown  bool
+	Faults bool
 	// Length is how long faults and submissions go on; after that all is well
 	// and every job must come to its end within Rest.
 	Length, Rest micros.Micros
@@ -45,6 +50,8 @@
 	workers map[string]*Worker
 	names   []string
 	users   []*user
+	byJob   map[string]*user
+	onJob   map[string]map[*task]*Worker // tasks that workers know of, exited ones included
 	cuts    map[string]cutMode
 	held    map[string][]func()
 	mute    map[string]micros.Micros // machines whose answers to orders are lost
@@ -54,8 +61,13 @@
 	// Started and Finished count tasks.
 	Started, Finished int
 	Restarts          int
+	// Copies counts late copies of reports, Deaf machines that were out of reach.
+	Copies, Deaf int
 	// Trace, if set, hears what happens.
 	Trace func(string)
+	// copiesUntil: until then many reports are copied.
+	copiesUntil micros.Micros
+	knownAt     micros.Micros // when checkKnown looks next
 }
 
 type cutMode int
@@ -92,14 +104,15 @@
 	s := &Sim{
 		plan: p, rng: rand.New(rand.NewPCG(p.Seed, 77)), now: sec,
 		workers: map[string]*Worker{}, cuts: map[string]cutMode{}, held: map[string][]func(){},
-		mute: map[string]micros.Micros{},
+		mute:  map[string]micros.Micros{},
+		byJob: map[string]*user{}, onJob: map[string]map[*task]*Worker{},
 	}
 	s.State = newState(s)
 	s.Cloud = newCloud(s)
 	s.cfg = core.Config{
 		Shares: p.Nodes, Teams: p.Teams,
 		Lease: 3 * sec, ReportEvery: 2 * sec, WorkerLease: 12 * sec, Cancel: 25 * sec,
-		StateRPS: 300, WriteRPS: 80, ValueBytes: 8 << 10,
+		StateRPS: 300, WriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 8, Asks: 24, SilentReturn: -1,
 		CloudRPS: 10, ListLag: 2 * sec,
 		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
 		Urgent: map[string]micros.Micros{"rush": 3 * sec},
@@ -107,7 +120,11 @@
 	for i := range p.Nodes {
 		s.Nodes = append(s.Nodes, &Node{sim: s, id: i, label: fmt.Sprintf("node-%d", i), rate: s.rng.Int64N(501)})
 	}
-	for range min(3, p.Machines) {
+	up := min(3, p.Machines)
+	if p.Grown {
+		up = p.Machines / 4
+	}
+	for range up {
 		s.Cloud.add(kind{typ: "small", zone: s.zone()}, 0)
 	}
 	for _, n := range s.Nodes {
@@ -116,8 +133,10 @@
 	for i := range p.Jobs {
 		u := newUser(s, i)
 		s.users = append(s.users, u)
+		s.byJob[u.sub.ID] = u
 		s.after(s.span(0, p.Length*3/4), u.submit)
 	}
+	s.markLargest()
 	if p.Faults {
 		s.scheduleFaults()
 	}
@@ -131,13 +150,19 @@
 		e := heap.Pop(&s.queue).(event)
 		s.now = max(s.now, e.at)
 		e.f()
+		if s.now >= s.knownAt {
+			s.knownAt = s.now + 5*sec
+			s.checkKnown()
+		}
 		if s.now > s.plan.Length+10*sec && s.allOver() {
+			s.checkServed()
 			return
 		}
 	}
 	if len(s.Broken) > 0 {
 		return
 	}
+	s.checkServed()
 	for _, u := range s.users {
 		if u.accepted && u.told == "" {
 			s.broken("stuck: %s (%s) has not ended %v s after the last fault; %d of %d tasks done",
@@ -146,6 +171,71 @@
 	}
 }
 
+// knownFor is how long, once troubles are over, no question about an accepted
+// job may go unanswered; startWithin is when the largest jobs must have begun.
+const (
+	knownFor    = 75 * sec
+	startWithin = 4 * micros.Minute
+)
+
+// checkKnown: an accepted job that was not cancelled stays known.
+func (s *Sim) checkKnown() {
+	for _, u := range s.users {
+		if u.accepted && !u.asked && s.now > s.plan.Length+knownFor && s.now-max(u.answeredAt, s.plan.Length) > knownFor {
+			s.broken("forgotten: no question about %s was answered for %v s", u.sub.ID, (s.now - u.answeredAt).Seconds())
+		}
+		if u.largest && u.accepted && !u.asked && u.startedAt == 0 && s.now > u.acceptedAt+startWithin {
+			s.broken("starved: %s, one of the largest of %s, has not begun", u.sub.ID, u.sub.Class)
+		}
+	}
+}
+
+// checkServed: at least half of each class, of each team and of each class's
+// largest jobs has been done within a minute after the troubles.
+func (s *Sim) checkServed() {
+	type count struct{ all, served int }
+	groups := map[string]*count{}
+	for _, u := range s.users {
+		if !u.accepted || u.asked {
+			continue
+		}
+		names := []string{"class " + u.sub.Class, "team " + u.sub.Team}
+		if u.largest {
+			names = append(names, "largest of "+u.sub.Class)
+		}
+		for _, name := range names {
+			g := groups[name]
+			if g == nil {
+				g = &count{}
+				groups[name] = g
+			}
+			g.all++
+			if len(u.done) == u.sub.Tasks && u.doneAt < s.plan.Length+micros.Minute {
+				g.served++
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		if g := groups[name]; 2*g.served < g.all {
+			s.broken("starved: %d of %d served of %s", g.served, g.all, name)
+		}
+	}
+}
+
+// markLargest finds each class's largest jobs: a quarter, at least one.
+func (s *Sim) markLargest() {
+	byClass := map[string][]*user{}
+	for _, u := range s.users {
+		byClass[u.sub.Class] = append(byClass[u.sub.Class], u)
+	}
+	for _, list := range byClass {
+		slices.SortStableFunc(list, func(a, b *user) int { return cmp.Compare(b.sub.Tasks, a.sub.Tasks) })
+		for _, u := range list[:(len(list)+3)/4] {
+			u.largest = true
+		}
+	}
+}
+
 func (s *Sim) allOver() bool {
 	for _, u := range s.users {
 		if u.told == "" && !u.gaveUp {
@@ -384,7 +474,7 @@
 	case core.ToCloud:
 		s.Cloud.serve(call.Req, reply)
 	case core.ToWorker:
-		if w := s.workers[call.Addr]; w != nil {
+		if w := s.workers[call.Addr]; w != nil && s.now >= w.deafUntil {
 			w.serve(call.Req, func(r core.Result) {
 				if s.now >= s.mute[w.id] {
 					reply(r)
@@ -396,19 +486,9 @@
 	}
 }
 
-// onMachine calls f for every task that is on a machine, in order.
-func (s *Sim) onMachine(f func(w *Worker, t *task)) {
-	for _, name := range s.names {
-		w := s.workers[name]
-		if w.dead || w.clock() > w.began+s.cfg.WorkerLease {
-			continue // a hanging machine's tasks end with its lease, though it tells later
-		}
-		for _, key := range w.order() {
-			if t := w.tasks[key]; t.onMachine() {
-				f(w, t)
-			}
-		}
-	}
+// here tells whether a worker's task is on its machine.
+func (s *Sim) here(w *Worker, t *task) bool {
+	return t.onMachine() && !w.dead && w.clock() <= w.began+s.cfg.WorkerLease // a hanging machine's tasks end with its lease, though it tells later
 }
 
 // starting checks the rules at the moment when a task has its image.
@@ -423,23 +503,34 @@
 	if u.cancelTold != 0 && s.now > u.cancelTold+s.cfg.Cancel {
 		s.broken("ran_cancelled: %s starts long after its cancellation", t.name)
 	}
-	var used, usedGPUs float64
 	zones := map[string]int{}
-	s.onMachine(func(o *Worker, other *task) {
-		ou := s.userOf(other.job)
+	for other, o := range s.onJob[t.job] {
+		if !s.here(o, other) {
+			continue
+		}
 		if o != w && other.name == t.name {
 			s.broken("ran_twice: %s runs on %s and is started on %s", t.name, o.id, w.id)
 		}
-		if ou.sub.Team == u.sub.Team {
-			used += ou.sub.CPUs
-			usedGPUs += ou.sub.GPUs
-		}
-		if other.job == t.job && (o != w || other.name != t.name) {
+		if o != w || other.name != t.name {
 			zones[o.zone]++
 		}
-	})
+	}
 	for _, team := range s.plan.Teams {
-		if team.Name == u.sub.Team && team.CPUsMax > 0 && used > team.CPUsMax+1e-6 {
+		if team.Name != u.sub.Team || team.CPUsMax <= 0 {
+			continue
+		}
+		used := 0.0
+		for _, ou := range s.users {
+			if ou.sub.Team != team.Name {
+				continue
+			}
+			for other, o := range s.onJob[ou.sub.ID] {
+				if s.here(o, other) {
+					used += ou.sub.CPUs
+				}
+			}
+		}
+		if used > team.CPUsMax+1e-6 {
 			s.broken("quota: %s uses %v CPUs of %v", team.Name, used, team.CPUsMax)
 		}
 	}
@@ -457,14 +548,7 @@
 	}
 }
 
-func (s *Sim) userOf(job string) *user {
-	for _, u := range s.users {
-		if u.sub.ID == job {
-			return u
-		}
-	}
-	return nil
-}
+func (s *Sim) userOf(job string) *user { return s.byJob[job] }
 
 // scheduleFaults draws what goes wrong, overlapping as it comes.
 func (s *Sim) scheduleFaults() {
@@ -493,7 +577,7 @@
 			peerLinks = append(peerLinks, n.label+"-"+o.label)
 		}
 	}
-	what := s.rng.IntN(16)
+	what := s.rng.IntN(20)
 	s.trace("fault %d at %s for %v s, mode %d", what, n.label, d.Seconds(), mode)
 	switch what {
 	case 0, 1:
@@ -546,6 +630,23 @@
 		s.after(s.span(100*ms, 3*sec), func() { n.crash(s.span(4*sec, 20*sec)) })
 	case 14: // it loses the state service for good, comes back with an old view, and soon owns again
 		s.cut([]string{n.label + "-state"}, mode, s.span(5*sec, 25*sec))
+	case 16: // reports of some machines arrive; answers and commands don't reach them
+		for range min(len(s.names), 1+s.rng.IntN(4)) {
+			w := s.workers[s.names[s.rng.IntN(len(s.names))]]
+			w.deafUntil = s.now + s.span(4*sec, 30*sec)
+			s.Deaf++
+		}
+	case 17: // it loses the state service and the others, not its workers
+		s.cut(append(peerLinks, n.label+"-state"), mode, s.span(5*sec, 35*sec))
+	case 18: // it ends and is back at once, and so are the others while its duties are being taken
+		n.crash(s.span(20*ms, 400*ms))
+		for _, o := range s.Nodes {
+			if o != n {
+				s.after(s.span(100*ms, 5*sec), func() { o.crash(s.span(20*ms, 400*ms)) })
+			}
+		}
+	case 19: // copies of reports come late, to any node
+		s.copiesUntil = s.now + d
 	case 15: // answers of one machine are lost for a while
 		if len(s.names) > 0 {
 			w := s.names[s.rng.IntN(len(s.names))]
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -17,6 +17,12 @@
 	}
 )
 
+// grownTeam are the same with room for hundreds of machines.
+var grownTeam = []core.Team{
+	{Name: "red", CPUs: 300, CPUsMax: 500}, {Name: "green", CPUs: 150, CPUsMax: 400},
+	{Name: "blue", CPUs: 300, CPUsMax: 700}, {Name: "grey", CPUs: 150, CPUsMax: 400},
+}
+
 // seeds lets a longer search be asked for: GARNETHITCH_SEEDS=500.
 func seeds(n int) int {
 	if v, err := strconv.Atoi(os.Getenv("GARNETHITCH_SEEDS")); err == nil && v > 0 {
@@ -41,6 +47,8 @@
 		{"troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Faults: true}, 24},
 		{"troubles, two nodes", fourTeam, Plan{Nodes: 2, Machines: 6, Jobs: 12, Faults: true}, 8},
 		{"troubles, one node", oneTeam, Plan{Nodes: 1, Machines: 6, Jobs: 12, Faults: true}, 6},
+		{"grown, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 300, Jobs: 60, Grown: true, Faults: true}, 2},
+		{"grown, teams parted", grownTeam, Plan{Nodes: 3, Machines: 300, Jobs: 60, Grown: true, Faults: true}, 2},
 	} {
 		for seed := range seeds(r.seeds) {
 			t.Run(fmt.Sprintf("%s/%d", r.name, seed), func(t *testing.T) {
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -24,6 +24,11 @@
 	cancelTold micros.Micros
 	told       string
 	gaveUp     bool
+	largest    bool // one of its class's largest
+	acceptedAt micros.Micros
+	answeredAt micros.Micros // when a question about it was last answered
+	startedAt  micros.Micros // when its first task began
+	doneAt     micros.Micros // when a task of it was last completed
 	tries      int
 }
 
@@ -47,6 +52,15 @@
 	case 4:
 		u.sub.Spot, u.sub.Types = false, []string{"small"}
 	}
+	if s.plan.Grown {
+		u.sub.Tasks = 1 + r.IntN(40)
+		if r.IntN(3) == 0 {
+			u.sub.Tasks = 100 + r.IntN(300)
+		}
+		if u.sub.Class == "rush" {
+			u.sub.Tasks = 1 + r.IntN(30)
+		}
+	}
 	u.cancels = r.IntN(6) == 0
 	if r.IntN(12) == 0 {
 		u.bad, u.cancels = true, true
@@ -78,7 +92,7 @@
 	u.request(func(id core.ReplyID) core.Input { return core.Submit{Reply: id, Job: u.sub} }, 5*sec, func(a core.Answer, ok bool) {
 		switch {
 		case ok && (a.Status == 201 || a.Status == 200):
-			u.accepted = true
+			u.accepted, u.acceptedAt, u.answeredAt = true, s.now, s.now
 			u.hear(a, told)
 			s.after(s.span(sec, 3*sec), u.poll)
 			if u.cancels {
@@ -157,6 +171,7 @@
 	if !ok || a.Status != 200 && a.Status != 201 {
 		return
 	}
+	u.answeredAt = s.now
 	if told != "" && body.State != told {
 		s.broken("went_back: %s was %s and is now %s", u.sub.ID, told, body.State)
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,6 +24,7 @@
 	takenAt   micros.Micros
 	hungUntil micros.Micros
 	sickUntil micros.Micros
+	deafUntil micros.Micros // until then nothing that is sent to it arrives
 
 	session, seq, token uint64
 	began               micros.Micros // of the session, or when the last answered report was sent
@@ -95,7 +96,11 @@
 		s.at(w.hungUntil, w.tick)
 		return
 	}
-	s.after(s.span(80*ms, 120*ms), w.tick)
+	if s.plan.Grown {
+		s.after(s.span(300*ms, 500*ms), w.tick)
+	} else {
+		s.after(s.span(80*ms, 120*ms), w.tick)
+	}
 	w.lapse()
 	for _, f := range w.pendingCalls {
 		f()
@@ -115,6 +120,9 @@
 			} else {
 				t.state = wire.TaskRunning
 				t.until = s.now + u.runs[t.idx] - u.progress[t.idx]
+				if u.startedAt == 0 {
+					u.startedAt = s.now
+				}
 				s.starting(w, t)
 				if s.now < w.sickUntil || u.bad {
 					t.until = s.now + s.span(200*ms, sec)
@@ -127,6 +135,7 @@
 			} else {
 				t.state, t.why = wire.TaskExited, wire.WhyDone
 				u.done[t.idx] = true
+				u.doneAt = s.now
 				s.Finished++
 			}
 			w.changed = true
@@ -154,6 +163,9 @@
 	if w.clock() > w.began+w.sim.cfg.WorkerLease {
 		w.session++
 		w.sim.trace("%s lease over, session %d, %d tasks killed", w.id, w.session, len(w.tasks))
+		for _, t := range w.tasks {
+			delete(w.sim.onJob[t.job], t)
+		}
 		w.tasks = map[string]*task{}
 		w.began = w.clock()
 		w.changed = true
@@ -181,9 +193,14 @@
 	w.nextReport = s.now + s.span(s.cfg.ReportEvery*3/4, s.cfg.ReportEvery*5/4)
 	rep, sent, session := w.reportBody(), w.clock(), w.session
 	n := s.Nodes[w.node]
+	w.copyLater(rep)
 	exchange(s, n.label+"-"+w.id, 4*sec,
 		func(reply func(core.Answer)) {
-			n.ask(func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: *rep} }, reply)
+			n.ask(func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: *rep} }, func(a core.Answer) {
+				if s.now >= w.deafUntil {
+					reply(a)
+				}
+			})
 		},
 		func(a core.Answer, ok bool) {
 			act := func() {
@@ -198,6 +215,24 @@
 		})
 }
 
+// copyLater may deliver a copy of a report again, to any node, from seconds to
+// well over a lease later. Nobody hears the answer.
+func (w *Worker) copyLater(rep *wire.Report) {
+	s := w.sim
+	if !s.plan.Faults || !s.chance(0.01) && !(s.now < s.copiesUntil && s.chance(0.5)) {
+		return
+	}
+	d := s.span(200*ms, 8*sec)
+	if s.chance(0.5) {
+		d = s.span(s.cfg.WorkerLease/2, 3*s.cfg.WorkerLease)
+	}
+	n := s.Nodes[s.rng.IntN(len(s.Nodes))]
+	s.Copies++
+	s.after(d, func() {
+		n.ask(func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: *rep} }, func(core.Answer) {})
+	})
+}
+
 func (w *Worker) answered(a core.Answer, ok bool, sent micros.Micros, session uint64) {
 	s := w.sim
 	if w.dead {
@@ -294,6 +329,12 @@
 				t.until = s.now + s.span(sec/2, 3*sec)
 			}
 			w.tasks[key] = t
+			if u != nil {
+				if s.onJob[job] == nil {
+					s.onJob[job] = map[*task]*Worker{}
+				}
+				s.onJob[job][t] = w
+			}
 			w.changed = true
 		case wire.OpStop:
 			if t == nil || t.state == wire.TaskExited {
@@ -310,6 +351,7 @@
 		case wire.OpForget:
 			if t != nil && t.state == wire.TaskExited {
 				delete(w.tasks, key)
+				delete(s.onJob[t.job], t)
 			}
 		}
 	}
