The strictest aim of a class counts; a machine for little work where there is none

Cause: settings may name several aims of a kind for a class, and the last one won: shaft checks were served as if wanted within 25 s instead of 6 s.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -47,7 +47,7 @@
 	MaxMachines  int
 
 	// Urgent holds the classes whose tasks are wanted started within a time,
-	// Finished those whose jobs are wanted done within one.
+	// Finished those whose jobs are wanted done within one; the strictest counts.
 	Urgent, Finished map[string]micros.Micros
 }
 
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		lack, own := w.parallel-w.have, 0.0
-		if c.choosy(g) {
+		if c.choosy(g) || w.have+eps < g.CPUs { // or there is hardly anything at all
 			own = c.lackOf(g, free)
 			lack = max(lack, own)
 		}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -117,14 +117,22 @@
 		switch {
 		case o.Class == "" || o.WithinS <= 0:
 		case o.Kind == "wait":
-			cfg.Urgent[o.Class] = micros.FromSeconds(o.WithinS)
+			strictest(cfg.Urgent, o)
 		case o.Kind == "finished":
-			cfg.Finished[o.Class] = micros.FromSeconds(o.WithinS)
+			strictest(cfg.Finished, o)
 		}
 	}
 	return cfg
 }
 
+// strictest keeps the shortest time that any objective wants for a class.
+func strictest(of map[string]micros.Micros, o config.Objective) {
+	within := micros.FromSeconds(o.WithinS)
+	if old, ok := of[o.Class]; !ok || within < old {
+		of[o.Class] = within
+	}
+}
+
 // silentReturn gives the operators' choice, or says that the core is to derive it.
 func silentReturn(opt config.Options) micros.Micros {
 	if opt.SilentReturnS == nil {
