--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -54,6 +54,7 @@
 
 	fails    map[string]int // failures by machine
 	failed   map[int]int    // failures by task
+	stopped  map[int]int    // stops for other jobs, by task
 	probeAt  micros.Micros  // a job that fails everywhere is tried one task at a time
 	pause    micros.Micros
 	firstRun micros.Micros
@@ -174,6 +175,7 @@
 		fresh:   j.mark > s.mark,
 		fails:   map[string]int{},
 		failed:  map[int]int{},
+		stopped: map[int]int{},
 		arrival: c.now,
 	}
 	s.queueStale = true
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -162,6 +162,9 @@
 	v := o.m.v
 	for _, sl := range o.set {
 		c.preempt.stops--
+		if r := sl.job.run; r != nil && sl.owned {
+			r.stopped[sl.idx]++
+		}
 		c.stop(sl, c.haltFor(sl, j))
 		c.log(Debug, "task stopped for a job of higher priority", "task", wire.TaskName(sl.job.id, sl.idx), "machine", o.m.id, "for", j.id)
 	}
@@ -207,17 +210,29 @@
 
 // lossOf is the work, in CPU seconds, that stopping an attempt throws away.
 func (c *Core) lossOf(sl *slot) float64 {
-	if sl.runAt == 0 {
-		return 0
+	ran := 0.0
+	if sl.runAt != 0 {
+		ran = (c.now - sl.runAt).Seconds()
 	}
-	ran := (c.now - sl.runAt).Seconds()
 	if k := sl.job.sub.CheckpointS; k > 0 {
 		ran = min(ran, k) // at most an interval is unsaved
 	}
-	// Its user also waits longer, which counts for more the higher its priority.
-	return ran*sl.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[sl.job.priority] + 4*float64(sl.job.priority)
+	// Its user also waits longer, which counts for more the higher its priority,
+	// the longer it runs, and the more often it was stopped before: the youngest
+	// tasks are the cheapest, and a task that has just been started again is young
+	// (three stops within 9 s put a job's end off by minutes).
+	prio := float64(sl.job.priority)
+	again := 0.0
+	if r := sl.job.run; r != nil {
+		again = float64(r.stopped[sl.idx])
+	}
+	return ran*sl.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[sl.job.priority] +
+		prio*(4+0.25*c.runs.expect(sl.job.sub).Seconds()) + stoppedBefore*again
 }
 
+// stoppedBefore is what each earlier stop of a task adds to the loss of another.
+const stoppedBefore = 25
+
 // haltFor says how a victim is stopped: with time to save, unless the job that
 // waits is wanted started sooner than that.
 func (c *Core) haltFor(sl *slot, j *job) int {
