Takeovers settle in seconds: kept connections give way, booting machines off record

(1) All 400 outbound connections were kept ones to other machines, so hundreds of machines could not be asked at all ("no connection free"). (2) Machines recorded while they booted could not be settled before they were up. Change: the connection kept for longest makes room for a new call; a machine is recorded when it first reports, those that come up within 300 ms in one record of several kinds; a machine still unsettled 5 s after a claim is returned, if few are. Ruled out: addresses missing from records; the bound on requests in flight.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -135,7 +135,7 @@
 		c.open--
 		ic.Close()
 	}
-	if c.open >= c.cfg.MaxConns {
+	if c.open >= c.cfg.MaxConns && !c.evict() {
 		c.mu.Unlock()
 		return nil, ErrBusy
 	}
@@ -157,6 +157,28 @@
 	return conn, nil
 }
 
+// evict closes the connection that has been kept for longest, so that kept ones
+// never keep others from being called (a takeover of 900 machines found all of
+// 400 connections kept, and could ask nobody for 10 s). The lock is held.
+func (c *Client) evict() bool {
+	var oldest *idleConn
+	addr := ""
+	for a, kept := range c.idle {
+		if len(kept) > 0 && (oldest == nil || kept[0].since.Before(oldest.since)) {
+			oldest, addr = kept[0], a
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.Close()
+	c.open--
+	if c.idle[addr] = c.idle[addr][1:]; len(c.idle[addr]) == 0 {
+		delete(c.idle, addr)
+	}
+	return true
+}
+
 func (c *Client) drop(conn net.Conn) {
 	conn.Close()
 	c.mu.Lock()
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -98,3 +99,30 @@
 		t.Errorf("%v, want a timeout", err)
 	}
 }
+
+// Kept connections never keep other addresses from being called: the one kept
+// for longest makes room.
+func TestKeptGiveWay(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	texts := make([]string, 20)
+	for i := range texts {
+		texts[i] = ok
+	}
+	dial, dials := answering(texts...)
+	c := New(Config{MaxIdle: 1, MaxConns: 4, MaxBody: 50, IdleTimeout: time.Hour, DialTimeout: time.Hour, Dial: dial})
+	ask := func(i int) {
+		addr := fmt.Sprintf("a:%d", i)
+		if _, err := c.Do(t.Context(), Call{Addr: addr, Method: "GET", Target: "/", Timeout: time.Hour}); err != nil {
+			t.Errorf("%s: %v", addr, err)
+		}
+	}
+	for i := range 10 {
+		ask(i)
+	}
+	if ask(9); *dials != 10 || c.open != 4 {
+		t.Errorf("%d connections made, %d open, want 10 and 4", *dials, c.open)
+	}
+	if ask(0); *dials != 11 {
+		t.Errorf("%d connections made, want 11: the oldest gave way", *dials)
+	}
+}
--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -85,9 +85,9 @@
 		}
 		if s.active && m.v == nil && !m.rec.Retiring {
 			c.setView(m, c.newView())
-			// A machine that came to the record after our claim, by a hire or from
-			// the cloud's first list, can't have been commanded by anybody else: a
-			// record is needed for that.
+			// A machine that came to the record after our claim, and not from another
+			// share, can't have been commanded by anybody else: a record is needed
+			// for that.
 			if created && isCreation(name) {
 				m.v.settled, m.v.fresh = true, true
 			} else {
@@ -153,7 +153,7 @@
 // Names of batches say how they came about; each holds the mark of the key that
 // entitled its writer, and a counter, so that none recurs.
 const (
-	batchHired  = "h" // rented
+	batchHired  = "h" // reported, and on no record
 	batchListed = "l" // found in the cloud's list
 	batchMoved  = "m" // from another share
 )
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -24,6 +24,7 @@
 	for _, s := range c.own.shares {
 		if c.acting(s.id) != nil {
 			out = append(out, c.demandOf(s))
+			c.logRoom(s)
 		}
 	}
 	return out
@@ -50,6 +51,8 @@
 		case peer.MachineBooting:
 			d.Booting += mt.CPUs
 			continue
+		case peer.MachineDoubt:
+			row.SinceUS = int64(c.now - s.claimedAt)
 		case peer.MachineIdle:
 			row.SinceUS = int64(c.now - v.idleAt)
 			d.CPUs += mt.CPUs
@@ -89,10 +92,52 @@
 	return d
 }
 
+// logRoom tells, at debug, where a share's unused CPUs are.
+func (c *Core) logRoom(s *share) {
+	var free, held, unsettled, late, notice, aside, going, other float64
+	for _, m := range s.machines {
+		v := m.v
+		if v == nil || m.returned || v.fresh {
+			continue
+		}
+		unused := c.types[m.rec.Type].CPUs - v.sum.cpus
+		switch {
+		case c.usable(m) && v.hold.job != nil && c.now < v.hold.until:
+			held += unused
+		case c.usable(m):
+			free += unused
+		case !v.settled || !v.known:
+			unsettled += unused
+		case c.unheard(v) > c.late() || c.outOfReach(m):
+			late += unused
+		case v.takenAt != 0:
+			notice += unused
+		case c.now < v.asideUntil || c.now < v.restUntil:
+			aside += unused
+		case v.leaving || c.now < v.goingTo:
+			going += unused
+		default:
+			other += unused
+		}
+	}
+	var open, blocked float64 // what waits and may start, and what may not yet
+	for _, j := range c.queue(s) {
+		if n := float64(j.pending()) * j.sub.CPUs; c.runnable(s, j) {
+			open += n
+		} else {
+			blocked += n
+		}
+	}
+	c.log(Debug, "unused CPUs", "share", s.id, "wanted", open, "blocked", blocked, "free", free, "held", held, "unsettled", unsettled, "late", late,
+		"notice", notice, "aside", aside, "going", going, "other", other, "orders", len(c.orders.wait), "in_flight", c.orders.inFlight)
+}
+
 // stateOf says how a machine counts for the leader.
 func (c *Core) stateOf(m *machine) int {
 	v := m.v
 	switch {
+	case v.doubt:
+		return peer.MachineDoubt
 	case v.fresh && c.now-v.since < 4*micros.Minute:
 		return peer.MachineBooting
 	case !v.known && v.settled || v.gone || c.unheard(v) > c.silence() || c.outOfReach(m):
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -35,10 +35,11 @@
 	hires   []*hire
 	refused map[kind]*refusal
 
-	creating map[string]*creating         // batches being recorded, by key
-	homing   map[string]bool              // machines in them
-	verified map[string]wire.BatchMachine // unlisted ones that answered for themselves
-	kinds    map[string]kind              // what those are
+	rented   map[string]*rented   // rented by this leader, and not on record yet
+	creating map[string]*creating // batches being recorded, by key
+	homing   map[string]bool      // machines in them, or about to be
+	callers  []caller             // machines without a record that have reported
+	callNext micros.Micros        // when they are recorded
 
 	returning map[string]bool
 	returned  map[string]micros.Micros // the cloud has confirmed it
@@ -66,8 +67,8 @@
 	f.refused = map[kind]*refusal{}
 	f.creating = map[string]*creating{}
 	f.homing = map[string]bool{}
-	f.verified = map[string]wire.BatchMachine{}
-	f.kinds = map[string]kind{}
+	f.rented = map[string]*rented{}
+	f.callers = nil
 	f.returning = map[string]bool{}
 	f.returned = map[string]micros.Micros{}
 	f.asked = map[string]micros.Micros{}
@@ -76,6 +77,9 @@
 }
 
 func (c *Core) startLeading() {
+	for _, cl := range c.fleet.callers {
+		c.answer(cl.in.Reply, 503, nil, 0)
+	}
 	c.fleet.reset()
 	c.fleet.ledAt = c.now
 	c.fleet.planNext = c.now
@@ -102,14 +106,19 @@
 
 func (c *Core) houseFleet() {
 	c.houseTypes()
+	f := &c.fleet
 	if !c.leading() {
+		for _, cl := range f.callers {
+			c.answer(cl.in.Reply, 503, nil, 0)
+		}
+		f.callers = nil
 		return
 	}
-	f := &c.fleet
 	for _, h := range slices.Clone(f.hires) {
 		c.sendHire(h)
 	}
 	c.houseList()
+	c.houseCallers()
 	c.houseCreating()
 	if c.now < f.planNext {
 		return
@@ -457,6 +466,20 @@
 		count += h.req.Count
 		booting += float64(h.req.Count) * c.types[h.req.Type].CPUs
 	}
+	for _, id := range sortedKeys(f.rented) {
+		if r := f.rented[id]; c.mach[id] != nil || f.returned[id] != 0 || c.now-r.at > 5*micros.Minute {
+			delete(f.rented, id)
+		} else if !f.homing[id] {
+			count++
+			booting += c.types[r.typ].CPUs
+		}
+	}
+	for _, id := range f.order {
+		if l := f.listed[id]; c.mach[id] == nil && f.rented[id] == nil && !f.homing[id] && f.returned[id] == 0 && l.State != wire.MachineFailed {
+			count++
+			booting += c.types[l.Type].CPUs
+		}
+	}
 	for _, cr := range f.creating {
 		count += len(cr.rec.Machines)
 		for _, m := range cr.rec.Machines {
--- a/internal/core/home.go
+++ b/internal/core/home.go
@@ -17,60 +17,137 @@
 	rec  wire.BatchRecord
 	busy bool
 	next micros.Micros
+	// callers wait for an answer to their reports.
+	callers []caller
 }
 
-// homeHired gives machines that were just rented a home, while they boot.
-func (c *Core) homeHired(k kind, ids []string) {
-	var list []wire.BatchMachine
-	for _, id := range ids {
-		if c.mach[id] == nil && !c.fleet.homing[id] && wire.UsableKey(id) {
-			list = append(list, wire.BatchMachine{ID: id, Addr: c.fleet.listed[id].Addr})
+// rented is a machine that this leader has rented. It is recorded once it
+// reports: a machine on record is one that a new owner has to settle before it
+// starts anything that an old one may have started there, and a booting one
+// can't be settled (25 s without a start after each takeover of a share).
+type rented struct {
+	kind
+	at micros.Micros
+}
+
+// caller is a machine without a record that has reported. Its report is
+// answered once it has a home.
+type caller struct {
+	in Checkin
+	kind
+}
+
+// callersEvery is how long machines are gathered, so that those that come up
+// together take one write.
+const (
+	callersEvery = 300 * micros.Millisecond
+	maxCallers   = 1000
+)
+
+// unknownMachine deals with the report of a machine without a record: the
+// leader gives it a home first. A report alone does not do, for it may be a late
+// copy of one that a machine sent before it was returned: this leader must have
+// rented it, or it must answer for itself.
+func (c *Core) unknownMachine(in Checkin) {
+	rep, f := &in.Report, &c.fleet
+	if !c.leading() {
+		c.redirect(in.Reply, &c.own.leader)
+		return
+	}
+	id := rep.Machine
+	if f.homing[id] || f.returning[id] || f.returned[id] != 0 || len(c.types) == 0 || !wire.UsableKey(id) || rep.Addr == "" || len(f.callers) >= maxCallers {
+		c.answer(in.Reply, 503, nil, 0)
+		return
+	}
+	k := kind{rep.Type, rep.Zone, rep.Spot}
+	if f.rented[id] != nil {
+		c.addCaller(caller{in, k})
+		return
+	}
+	if !c.orders.mayAsk() {
+		c.answer(in.Reply, 503, nil, 0)
+		return
+	}
+	mark := c.own.leader.mark
+	f.homing[id] = true
+	c.orders.inFlight++
+	c.call(Call{To: ToWorker, Addr: rep.Addr, Req: Show{}, Timeout: orderTimeout}, func(r Result) {
+		c.orders.inFlight--
+		if c.own.leader.mark != mark {
+			c.answer(in.Reply, 503, nil, 0)
+			return
+		}
+		delete(f.homing, id)
+		got, ok := r.Body.(*wire.Report)
+		if !ok || r.Status != 200 || got.Machine != id || f.returned[id] != 0 || f.returning[id] || c.mach[id] != nil {
+			c.answer(in.Reply, 503, nil, 0)
+			return
 		}
+		c.addCaller(caller{in, k})
+	})
+}
+
+func (c *Core) addCaller(cl caller) {
+	f := &c.fleet
+	if len(f.callers) == 0 {
+		f.callNext = c.now + callersEvery
 	}
-	c.home1(batchHired, k, list, c.allDemand())
+	f.homing[cl.in.Report.Machine] = true
+	f.callers = append(f.callers, cl)
+	c.wakeIn(f.callNext - c.now)
 }
 
-// homeListed gives machines a home that the cloud lists and that are on no
-// record: those of the start, and those of rentals whose answers were lost. A
-// list lags, and copies of reports come late: a machine that a former leader
-// has just returned must not come back to the record.
+// houseCallers records the machines that have reported of late.
+func (c *Core) houseCallers() {
+	f := &c.fleet
+	if len(f.callers) == 0 || c.now < f.callNext {
+		return
+	}
+	callers := f.callers
+	f.callers = nil
+	var list []homeless
+	for _, cl := range callers {
+		list = append(list, homeless{wire.BatchMachine{ID: cl.in.Report.Machine, Addr: cl.in.Report.Addr}, cl.kind})
+	}
+	c.giveHomes(batchHired, list, c.allDemand(), callers)
+}
+
+// homeless is a machine that has no record yet.
+type homeless struct {
+	wire.BatchMachine
+	kind
+}
+
+// homeListed gives machines a home that the cloud lists as running and that are
+// on no record: those of the start, and any whose reports don't come through. A
+// list lags: a machine that a former leader has just returned must not come back
+// to the record.
 func (c *Core) homeListed(demand map[int]*peer.Demand) {
 	f := &c.fleet
-	sure := f.first || c.now-f.ledAt > 2*c.cfg.ListLag+2*micros.Second
-	byKind := map[kind][]wire.BatchMachine{}
-	var kinds []kind
-	add := func(k kind, m wire.BatchMachine) {
-		if c.mach[m.ID] != nil || f.homing[m.ID] || f.returning[m.ID] || f.returned[m.ID] != 0 || !wire.UsableKey(m.ID) {
-			return
-		}
-		if byKind[k] == nil {
-			kinds = append(kinds, k)
-		}
-		byKind[k] = append(byKind[k], m)
+	if !f.first && c.now-f.ledAt <= 2*c.cfg.ListLag+2*micros.Second {
+		return
 	}
+	var list []homeless
 	for _, id := range f.order {
-		if l := f.listed[id]; sure && l.State != wire.MachineFailed {
-			add(kind{l.Type, l.Zone, l.Spot}, wire.BatchMachine{ID: id, Addr: l.Addr})
+		l := f.listed[id]
+		if l.State == wire.MachineRunning && c.mach[id] == nil && !f.homing[id] && !f.returning[id] && f.returned[id] == 0 && wire.UsableKey(id) {
+			list = append(list, homeless{wire.BatchMachine{ID: id, Addr: l.Addr}, kind{l.Type, l.Zone, l.Spot}})
 		}
 	}
-	for _, id := range sortedKeys(f.verified) {
-		add(f.kinds[id], f.verified[id])
-	}
-	clear(f.verified)
-	for _, k := range kinds {
-		c.home1(batchListed, k, byKind[k], demand)
-	}
+	c.giveHomes(batchListed, list, demand, nil)
 }
 
-// home1 records machines of one kind, each with the share that lacks most of
-// its part of the fleet.
-func (c *Core) home1(why string, k kind, list []wire.BatchMachine, demand map[int]*peer.Demand) {
+// giveHomes records machines, each with the share that lacks most of its part
+// of the fleet.
+func (c *Core) giveHomes(why string, list []homeless, demand map[int]*peer.Demand, callers []caller) {
 	if len(list) == 0 {
 		return
 	}
 	f := &c.fleet
-	cpus := max(c.types[k.typ].CPUs, 1)
-	has, total := map[int]float64{}, cpus*float64(len(list))
+	has, total := map[int]float64{}, 0.0
+	for _, m := range list {
+		total += c.types[m.typ].CPUs
+	}
 	for _, s := range c.own.shares {
 		for _, m := range s.machines {
 			if !m.rec.Retiring && !m.returned {
@@ -93,13 +170,19 @@
 		}
 	}
 	part := c.parts(demand, total)
-	byShare := map[int][]wire.BatchMachine{}
+	byShare := map[int][]homeless{}
+	best := -1
 	for _, m := range list {
-		best, bestGap := 0, math.Inf(-1)
-		for _, s := range c.own.shares {
-			// Where nothing waits, the share with least comes first.
-			if gap := part[s.id] - has[s.id]; gap > bestGap+eps {
-				best, bestGap = s.id, gap
+		cpus := max(c.types[m.typ].CPUs, 1)
+		// Machines that come up together stay together as long as their share lacks
+		// some: a batch for each share would take as many writes.
+		if best < 0 || part[best]-has[best] < cpus {
+			bestGap := math.Inf(-1)
+			for _, s := range c.own.shares {
+				// Where nothing waits, the share with least comes first.
+				if gap := part[s.id] - has[s.id]; gap > bestGap+eps {
+					best, bestGap = s.id, gap
+				}
 			}
 		}
 		has[best] += cpus
@@ -109,13 +192,21 @@
 		for chunk := range slices.Chunk(byShare[s.id], c.batchLimit()) {
 			cr := &creating{
 				key: wire.BatchKey(s.id, c.batchName(why, c.own.leader.mark)),
-				rec: wire.BatchRecord{Kinds: []wire.MachineKind{{Type: k.typ, Zone: k.zone, Spot: k.spot}}, Machines: slices.Clone(chunk)},
 			}
 			f.creating[cr.key] = cr
 			for _, m := range chunk {
+				k := wire.MachineKind{Type: m.typ, Zone: m.zone, Spot: m.spot}
+				if m.Kind = slices.Index(cr.rec.Kinds, k); m.Kind < 0 {
+					m.Kind = len(cr.rec.Kinds)
+					cr.rec.Kinds = append(cr.rec.Kinds, k)
+				}
+				cr.rec.Machines = append(cr.rec.Machines, m.BatchMachine)
 				f.homing[m.ID] = true
+				if i := slices.IndexFunc(callers, func(cl caller) bool { return cl.in.Report.Machine == m.ID }); i >= 0 {
+					cr.callers = append(cr.callers, callers[i])
+				}
 			}
-			c.log(Info, "machines homed", "count", len(chunk), "share", s.id, "type", k.typ, "zone", k.zone, "spot", k.spot)
+			c.log(Info, "machines homed", "count", len(chunk), "share", s.id)
 			c.sendCreating(cr)
 		}
 	}
@@ -141,6 +232,15 @@
 		}
 	}
 	c.writeBatches(prioFleet, wire.KeyLeader, mark, []rewrite{{key: cr.key, rec: cr.rec}}, func(ok, unclear bool) {
+		callers := cr.callers
+		cr.callers = nil
+		for _, cl := range callers {
+			if ok {
+				c.checkin(cl.in) // which sends it to its owner
+			} else {
+				c.answer(cl.in.Reply, 503, nil, 0)
+			}
+		}
 		if c.own.leader.mark != mark {
 			return
 		}
@@ -153,39 +253,6 @@
 	})
 }
 
-// unknownMachine deals with the report of a machine without a record: the
-// leader gives it a home first. A report alone does not do, for it may be a late
-// copy of one that a machine sent before it was returned: the cloud must list
-// the machine, or it must answer for itself.
-func (c *Core) unknownMachine(in Checkin) {
-	rep, f := &in.Report, &c.fleet
-	if !c.leading() {
-		c.redirect(in.Reply, &c.own.leader)
-		return
-	}
-	c.answer(in.Reply, 503, nil, 0)
-	if _, listed := f.listed[rep.Machine]; listed || f.homing[rep.Machine] || f.returning[rep.Machine] || f.returned[rep.Machine] != 0 ||
-		len(c.types) == 0 || !wire.UsableKey(rep.Machine) || rep.Addr == "" || len(f.verified) >= 1000 || f.listedAt == 0 || !c.orders.mayAsk() {
-		return
-	}
-	id := rep.Machine
-	mark := c.own.leader.mark
-	f.homing[id] = true
-	c.orders.inFlight++
-	c.call(Call{To: ToWorker, Addr: rep.Addr, Req: Show{}, Timeout: orderTimeout}, func(r Result) {
-		c.orders.inFlight--
-		if c.own.leader.mark != mark {
-			return
-		}
-		delete(f.homing, id)
-		if got, ok := r.Body.(*wire.Report); ok && r.Status == 200 && got.Machine == id {
-			f.verified[id] = wire.BatchMachine{ID: id, Addr: got.Addr}
-			f.kinds[id] = kind{got.Type, got.Zone, got.Spot}
-			f.planNext = c.now
-		}
-	})
-}
-
 // parts says how many of total CPUs each share should have: first what its
 // jobs within a guarantee can use, then by the work that is left.
 func (c *Core) parts(demand map[int]*peer.Demand, total float64) map[int]float64 {
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -281,27 +281,44 @@
 	return 0
 }
 
-// replaceBad retires machines that fail or slow tasks once they are empty, and
-// silent ones if the operators want that.
+// replaceBad retires machines that fail or slow tasks once they are empty,
+// returns silent ones if the operators want that, and those that hold up a
+// takeover.
 func (c *Core) replaceBad(demand map[int]*peer.Demand) {
-	var silent []string
+	var back []string
 	for _, id := range shareIDs(demand) {
 		d := demand[id]
-		quiet := 0
+		silent, doubt := 0, 0
 		for _, m := range d.Machines {
-			if m.State == peer.MachineSilent {
-				quiet++
+			switch m.State {
+			case peer.MachineSilent:
+				silent++
+			case peer.MachineDoubt:
+				doubt++
 			}
 		}
 		for _, m := range d.Machines {
+			since := micros.Micros(m.SinceUS)
 			switch {
 			case m.State == peer.MachineBad:
 				c.askRelease(m.ID, peer.Release{Retire: true})
-			case m.State == peer.MachineSilent && c.cfg.SilentReturn != 0 && micros.Micros(m.SinceUS) > c.silentReturn() && 2*quiet <= d.All:
+			case m.State == peer.MachineSilent && c.cfg.SilentReturn != 0 && since > c.silentReturn() && 2*silent <= d.All:
 				// If most are silent, the fault is rather the owner's network.
-				silent = append(silent, m.ID)
+				back = append(back, m.ID)
+			case m.State == peer.MachineDoubt && c.cfg.SilentReturn != 0 && since > doubtReturn && fewDoubt*doubt <= d.All && waitingCPUs(d) > 0:
+				// One machine that can't be reached holds up all older jobs of its share.
+				// The cloud's answer to its return settles it.
+				back = append(back, m.ID)
 			}
 		}
 	}
-	c.returnMachines(silent)
+	c.returnMachines(back)
 }
+
+const (
+	// doubtReturn is how long after a claim a machine may stay unsettled. Those
+	// that can be reached are settled within a few seconds.
+	doubtReturn = 5 * micros.Second
+	// fewDoubt: one in so many machines of a share may be returned for it.
+	fewDoubt = 20
+)
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -87,20 +87,19 @@
 			}
 		}
 	}
-	for _, m := range c.mach {
-		if l, ok := f.listed[m.id]; (!ok || l.State == wire.MachineBooting) && !m.rec.Retiring && !m.returned && !c.heardOf(m.id) {
-			free[m.kind()] += c.types[m.rec.Type].CPUs
+	for id, r := range f.rented {
+		if c.mach[id] == nil {
+			free[r.kind] += c.types[r.typ].CPUs
+		}
+	}
+	for id, l := range f.listed {
+		if c.mach[id] == nil && f.rented[id] == nil && f.returned[id] == 0 && l.State != wire.MachineFailed {
+			free[kind{l.Type, l.Zone, l.Spot}] += c.types[l.Type].CPUs
 		}
 	}
 	for _, h := range f.hires {
 		free[kind{h.req.Type, h.req.Zone, h.req.Spot}] += float64(h.req.Count) * c.types[h.req.Type].CPUs
 	}
-	for _, cr := range f.creating {
-		for _, m := range cr.rec.Machines {
-			k := cr.rec.Kinds[m.Kind]
-			free[kind{k.Type, k.Zone, k.Spot}] += c.types[k.Type].CPUs
-		}
-	}
 	return free
 }
 
@@ -212,7 +211,9 @@
 			} else {
 				delete(f.refused, k)
 			}
-			c.homeHired(k, body.Machines)
+			for _, id := range body.Machines {
+				f.rented[id] = &rented{kind: k, at: c.now}
+			}
 		case r.Status == 503 && r.Body == noCapacity:
 			over()
 			c.refuse(k)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -98,6 +98,7 @@
 	MachineBusy    = 4
 	MachineGoing   = 5 // it takes no more tasks and leaves once it is empty
 	MachineBooting = 6 // rented, and has not reported yet
+	MachineDoubt   = 7 // on record at a takeover and not settled yet: others' tasks wait for it
 )
 
 // Machine is one machine of a share that the leader should know about.
