Jobs with little work left go first, and age

Order within a priority and a guarantee is now the time of acceptance plus eight times what the job's work takes the whole share; it replaces deadline and age.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -23,8 +23,9 @@
 	priority int
 	due      micros.Micros // time of day
 	knownAt  micros.Micros
-	run      *run // set at the owner
-	within   bool // it fits into its team's guarantee; see markGuaranteed
+	run      *run    // set at the owner
+	turn     float64 // its place among others of its kind; see queue
+	within   bool    // it fits into its team's guarantee; see markGuaranteed
 }
 
 // run is what the owner of a job keeps of it.
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -30,7 +30,8 @@
 	queue    []*job     // unfinished jobs in the order in which they are served
 	// queueStale: a job has come or gone since.
 	queueStale bool
-	settled    bool // no task of a former owner can be at an unknown place
+	queueNext  micros.Micros // when it is put in order again
+	settled    bool          // no task of a former owner can be at an unknown place
 	// active: this node saw its own claim in the watch, so that its view of
 	// machines is at least as new as the claim.
 	active    bool
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -170,10 +170,10 @@
 
 // queue lists a share's unfinished jobs, the first to be served first.
 func (c *Core) queue(s *share) []*job {
-	if !s.queueStale {
+	if !s.queueStale && c.now < s.queueNext {
 		return s.queue
 	}
-	s.queueStale = false
+	s.queueStale, s.queueNext = false, c.now+reorderEvery
 	s.queue = s.queue[:0]
 	for _, j := range c.jobs.open {
 		if j.share == s.id && j.run != nil {
@@ -181,17 +181,36 @@
 		}
 	}
 	c.markGuaranteed(s.queue)
+	cpus := 1.0
+	for _, m := range s.machines {
+		if m.v != nil && m.v.known {
+			cpus += c.types[m.rec.Type].CPUs
+		}
+	}
+	for _, j := range s.queue {
+		work := float64(j.sub.Tasks-j.run.count) * j.sub.CPUs * c.runs.expect(j.sub).Seconds()
+		j.turn = float64(j.rec.AcceptedMS)/1000 + turnFactor*work/cpus
+	}
 	slices.SortFunc(s.queue, func(a, b *job) int {
 		return cmp.Or(
 			-cmp.Compare(a.priority, b.priority),
 			-cmp.Compare(b2i(a.within), b2i(b.within)),
-			cmp.Compare(a.due, b.due),
+			cmp.Compare(a.turn, b.turn),
 			cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS),
 			cmp.Compare(a.id, b.id))
 	})
 	return s.queue
 }
 
+// Among jobs of one priority, in or beyond a guarantee, those with little work
+// left go first: more of them are in time, and more users are served soon. A job
+// ages meanwhile, so that a large one waits for later ones by no more than
+// turnFactor times what its work takes the whole share.
+const (
+	reorderEvery = micros.Second
+	turnFactor   = 8.0
+)
+
 func b2i(b bool) int {
 	if b {
 		return 1
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -406,3 +406,71 @@
 		t.Errorf("a machine that shows a foreign token is given %v", body.Commands)
 	}
 }
+
+// The order in which a share's waiting jobs are served.
+func TestQueue(t *testing.T) {
+	type jb struct {
+		id, priority string
+		tasks        int
+		age          micros.Micros // how long ago it was accepted
+	}
+	for _, tc := range []struct {
+		name string
+		jobs []jb
+		want string
+	}{
+		{"priority first", []jb{{"1", "standard", 1, 0}, {"2", "high", 50, 0}, {"3", "best_effort", 1, 0}}, "213"},
+		{"little work first", []jb{{"1", "standard", 40, 0}, {"2", "standard", 2, 0}, {"3", "standard", 20, 0}}, "231"},
+		{"a large one ages", []jb{{"1", "standard", 4, 0}, {"2", "standard", 40, 800 * sec}}, "21"},
+		{"equals by age", []jb{{"1", "standard", 4, 0}, {"2", "standard", 4, sec}}, "21"},
+		{"within the guarantee first", []jb{{"1", "standard", 30, 2 * sec}, {"2", "standard", 12, sec}}, "12"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) {
+				if tc.name == "within the guarantee first" {
+					c.Teams[0].CPUs = 30
+				}
+			})
+			h.settle("vm-1")
+			for _, j := range tc.jobs {
+				sub := jobOf("job-00000"+j.id, j.tasks)
+				sub.Priority = j.priority
+				rec := wire.JobRecord{Submission: &sub, State: wire.StatePending, Tasks: j.tasks, AcceptedMS: (1000*sec - j.age).Millis()}
+				h.c.learnJob(sub.ID, rec, h.rev+100)
+			}
+			got := ""
+			for _, j := range h.c.queue(h.c.own.shares[0]) {
+				got += j.id[len(j.id)-1:]
+			}
+			if got != tc.want {
+				t.Errorf("served in the order %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// What is stopped for a job of higher priority: the loss counts work, priority,
+// length and earlier stops.
+func TestLoss(t *testing.T) {
+	h := newHarness(t, nil)
+	attempt := func(priority string, ran, estimate micros.Micros, stops int) *slot {
+		sub := jobOf("job-000001", 1)
+		sub.Priority, sub.EstimateS = priority, estimate.Seconds()
+		prio, _ := wire.PriorityOf(priority)
+		return &slot{job: &job{sub: &sub, priority: prio, run: &run{stopped: map[int]int{0: stops}}}, runAt: h.now - ran}
+	}
+	h.c.now = h.now
+	for _, tc := range []struct {
+		name       string
+		less, more *slot
+	}{
+		{"less work done", attempt("standard", 2*sec, 10*sec, 0), attempt("standard", 9*sec, 10*sec, 0)},
+		{"lower priority", attempt("best_effort", 5*sec, 10*sec, 0), attempt("standard", 5*sec, 10*sec, 0)},
+		{"shorter", attempt("standard", 5*sec, 10*sec, 0), attempt("standard", 5*sec, 200*sec, 0)},
+		{"never stopped before, though it ran for longer", attempt("standard", 20*sec, 40*sec, 0), attempt("standard", 3*sec, 40*sec, 1)},
+	} {
+		if a, b := h.c.lossOf(tc.less), h.c.lossOf(tc.more); a >= b {
+			t.Errorf("%s: %v and %v", tc.name, a, b)
+		}
+	}
+}
