Late jobs' tasks leave mostly unused machines too, several at a time

Until now only tasks that can save were moved, one machine of a share at a time. Change: a task of a job that is late already may start anew elsewhere if what stands unused meanwhile is worth three times the work done again; a twentieth of a share's machines at a time. Ruled out: idle machines kept; they go after 2 s.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		used := min(v.sum.cpus, mt.CPUs)
-		row := peer.Machine{ID: m.id, State: c.stateOf(m), Busy: used, Saves: true}
+		row := peer.Machine{ID: m.id, State: c.stateOf(m), Busy: used, Movable: true}
 		switch row.State {
 		case peer.MachineBooting:
 			d.Booting += mt.CPUs
@@ -69,8 +69,10 @@
 			if sl.job == nil || sl.state == slotExited {
 				continue
 			}
-			if !sl.owned || sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning {
-				row.Saves = false
+			if !c.movable(sl) {
+				row.Movable = false
+			} else if sl.job.sub.CheckpointS <= 0 {
+				row.LostUS += int64(float64(c.now-sl.runAt) * sl.job.sub.CPUs)
 			}
 			left := c.runs.expect(sl.job.sub)
 			if sl.runAt > 0 {
@@ -86,12 +88,43 @@
 		}
 	}
 	slices.SortFunc(busy, func(a, b peer.Machine) int { return cmp.Or(cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID)) })
-	d.Machines = append(d.Machines, busy[:min(len(busy), maxBusyRows)]...)
+	n := min(len(busy), maxBusyRows)
+	d.Machines = append(d.Machines, busy[:n]...)
+	if rest := busy[n:]; len(rest) > 0 {
+		// And those that stand most unused.
+		slices.SortFunc(rest, func(a, b peer.Machine) int {
+			return cmp.Or(-cmp.Compare(c.unusedFor(a), c.unusedFor(b)), cmp.Compare(a.ID, b.ID))
+		})
+		d.Machines = append(d.Machines, rest[:min(len(rest), maxBusyRows)]...)
+	}
 	d.All = len(s.machines)
 	d.Groups = c.groups(s)
 	return d
 }
 
+// unusedFor is how much of a machine stands unused until it is empty, in CPU
+// seconds.
+func (c *Core) unusedFor(row peer.Machine) float64 {
+	m := c.mach[row.ID]
+	if m == nil {
+		return 0
+	}
+	return (c.types[m.rec.Type].CPUs - row.Busy) * micros.Micros(row.LeftUS).Seconds()
+}
+
+// movable: a running task may be stopped so that its machine can be returned. It
+// can save, or its job is late already by what its class or its user wants.
+func (c *Core) movable(sl *slot) bool {
+	if !sl.owned || sl.state != slotRunning {
+		return false
+	}
+	if sl.job.sub.CheckpointS > 0 {
+		return true
+	}
+	due := c.dueOf(sl.job)
+	return due < micros.Never && c.wall > due
+}
+
 // logRoom tells, at debug, where a share's unused CPUs are.
 func (c *Core) logRoom(s *share) {
 	var free, held, unsettled, late, notice, aside, going, other float64
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -226,9 +226,9 @@
 	}
 }
 
-// consolidate empties one machine of a share where nothing waits, if all of its
-// tasks can save and go on in the room that the share's other machines have, and
-// if they would otherwise keep a mostly unused machine for long.
+// consolidate empties machines of a share where nothing waits, if their tasks
+// may go on in the room that the share's other machines have, and if they would
+// otherwise keep mostly unused machines for long.
 func (c *Core) consolidate(demand map[int]*peer.Demand, w want) {
 	needed := max(w.parallel, c.reserve(w))
 	for _, id := range shareIDs(demand) {
@@ -236,35 +236,51 @@
 		if waitingCPUs(d) > 0 {
 			continue
 		}
-		var best *peer.Machine
-		most := 0.0
+		most := max(1, d.All/20) // so many at a time
+		free := d.CPUs - d.Busy
+		type option struct {
+			*peer.Machine
+			cpus, gain float64
+		}
+		var options []option
 		for i := range d.Machines {
 			m := &d.Machines[i]
-			rec := c.mach[m.ID]
-			if rec == nil {
-				continue
-			}
-			mt := c.types[rec.rec.Type]
 			if m.State == peer.MachineGoing {
-				best = nil
-				break // one at a time
+				most--
 			}
-			if m.State != peer.MachineBusy || !m.Saves || m.LeftUS < int64(30*micros.Second) || 2*m.Busy > mt.CPUs ||
-				w.have-mt.CPUs < needed || d.CPUs-d.Busy-(mt.CPUs-m.Busy) < m.Busy {
+			rec := c.mach[m.ID]
+			if rec == nil || m.State != peer.MachineBusy || !m.Movable {
 				continue
 			}
-			if gain := (mt.CPUs - m.Busy) * micros.Micros(m.LeftUS).Seconds(); gain > most {
-				best, most = m, gain
+			cpus := c.types[rec.rec.Type].CPUs
+			gain := c.unusedFor(*m) - againCost*micros.Micros(m.LostUS).Seconds()
+			if m.LeftUS >= int64(30*micros.Second) && 2*m.Busy <= cpus && gain > minGain {
+				options = append(options, option{m, cpus, gain})
 			}
 		}
-		if best != nil && most > 200 {
-			c.log(Info, "emptying a mostly unused machine", "machine", best.ID, "share", id, "busy", best.Busy)
-			c.fleet.goingTo[best.ID] = going{retire: true, until: c.now + 30*micros.Second}
-			c.askRelease(best.ID, peer.Release{Retire: true, Drain: true, Save: true})
+		slices.SortStableFunc(options, func(a, b option) int { return -cmp.Compare(a.gain, b.gain) })
+		for _, o := range options {
+			if most <= 0 || w.have-o.cpus < needed || free-(o.cpus-o.Busy) < o.Busy {
+				break
+			}
+			most--
+			w.have -= o.cpus
+			free -= o.cpus // what it leaves goes into others' room
+			c.log(Info, "emptying a mostly unused machine", "machine", o.ID, "share", id, "busy", o.Busy)
+			c.fleet.goingTo[o.ID] = going{retire: true, until: c.now + 30*micros.Second}
+			c.askRelease(o.ID, peer.Release{Retire: true, Drain: true, Save: true})
 		}
 	}
 }
 
+const (
+	// againCost weighs work that is done again against machines standing unused:
+	// its user waits as well.
+	againCost = 3
+	// minGain is the least, in CPU seconds, that emptying a machine must bring.
+	minGain = 200
+)
+
 // reserve is how many CPUs are kept although nothing waits. Where tasks are
 // wanted started sooner than a machine boots, that is what arrives while one
 // would boot; elsewhere nothing.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -590,17 +590,21 @@
 }
 
 // saveAll stops a machine's tasks so that they go on elsewhere, if all of them
-// can save.
+// may.
 func (c *Core) saveAll(m *machine) {
 	slots := m.v.each()
 	for _, sl := range slots {
-		if sl.state != slotExited && (!sl.owned || sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning && sl.state != slotSaving) {
+		if sl.state != slotExited && sl.state != slotSaving && !c.movable(sl) {
 			return
 		}
 	}
 	for _, sl := range slots {
-		if sl.state == slotRunning {
+		switch {
+		case sl.state != slotRunning:
+		case sl.job.sub.CheckpointS > 0:
 			c.stop(sl, haltSave)
+		default:
+			c.stop(sl, haltHard)
 		}
 	}
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -200,12 +200,18 @@
 // pressed: the job can still be in time, but only if its tasks start within
 // some seconds.
 func (c *Core) pressed(j *job) bool {
+	slack := c.dueOf(j) - c.wall - c.runs.expect(j.sub)
+	return slack > 0 && slack < 15*micros.Second
+}
+
+// dueOf is when a job is wanted done, by its user or its class; Never if neither
+// says.
+func (c *Core) dueOf(j *job) micros.Micros {
 	due := j.due
 	if within := c.cfg.Finished[j.sub.Class]; within > 0 {
 		due = min(due, micros.Micros(j.rec.AcceptedMS)*micros.Millisecond+within)
 	}
-	slack := due - c.wall - c.runs.expect(j.sub)
-	return slack > 0 && slack < 15*micros.Second
+	return due
 }
 
 // lossOf is the work, in CPU seconds, that stopping an attempt throws away.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -108,9 +108,12 @@
 	SinceUS int64  `msgpack:"t"` // for how long
 	// LeftUS is how long its tasks will probably take yet.
 	LeftUS int64 `msgpack:"l,omitempty"`
-	// Busy are the CPUs in use; Saves tells that all its tasks can save.
-	Busy  float64 `msgpack:"b,omitempty"`
-	Saves bool    `msgpack:"v,omitempty"`
+	// Busy are the CPUs in use. Movable tells that its tasks may go on elsewhere:
+	// each can save, or starts anew without a promise being broken by that; LostUS
+	// is the work, in CPU microseconds, that would be done again.
+	Busy    float64 `msgpack:"b,omitempty"`
+	Movable bool    `msgpack:"v,omitempty"`
+	LostUS  int64   `msgpack:"x,omitempty"`
 }
 
 // Ask asks the owner about a job, or to cancel it.
