A Version names done tasks as a set where ranges would not fit

Cause: an array of 2,000 tasks that end in any order makes up to 1,000 ranges, of which 557 fit into 8 KiB; tasks left out are never cleared from their machines' reports. Words of 64 bits take 288 bytes there. Ranges stay where they are shorter. Ruled out: spilling into further keys, which takes writes.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -364,11 +364,13 @@
 		done   func(i int) bool
 		ranges []int
 		count  int
+		set    bool
 	}{
-		{"none", 10, func(int) bool { return false }, nil, 0},
-		{"all", 10, func(int) bool { return true }, []int{0, 9}, 10},
-		{"a hole", 6, func(i int) bool { return i != 3 }, []int{0, 2, 4, 5}, 5},
-		{"last only", 100_000, func(i int) bool { return i == 99_999 }, []int{99_999, 99_999}, 1},
+		{"none", 10, func(int) bool { return false }, nil, 0, false},
+		{"all", 10, func(int) bool { return true }, []int{0, 9}, 10, false},
+		{"a hole", 6, func(i int) bool { return i != 3 }, []int{0, 2, 4, 5}, 5, false},
+		{"last only", 100_000, func(i int) bool { return i == 99_999 }, []int{99_999, 99_999}, 1, false},
+		{"every other of 2,000: more ranges than fit", 2000, func(i int) bool { return i%2 == 0 }, nil, 1000, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := New(Config{Shares: 1, Teams: []Team{{Name: "t"}}, ValueBytes: 8 << 10, StateRPS: 1, WriteRPS: 1, CloudRPS: 1}, 1)
@@ -379,7 +381,20 @@
 					j.run.done.set(i)
 				}
 			}
+			j.run.count = tc.count
 			rec, _ := c.version(j)
+			if tc.set {
+				if rec.Count != tc.count || len(rec.Ranges) != 0 {
+					t.Fatalf("%d done in %d ranges, want %d in a set", rec.Count, len(rec.Ranges)/2, tc.count)
+				}
+				// A new owner reads the same from it.
+				again := &job{id: sub.ID, sub: &sub, run: &run{done: newBitset(tc.tasks), saved: newBitset(tc.tasks), fresh: true}}
+				c.applyVersion(&share{versions: map[string]wire.VersionRecord{sub.ID: rec}}, again)
+				if again.run.count != tc.count {
+					t.Errorf("read as %d done", again.run.count)
+				}
+				return
+			}
 			if rec.Count != tc.count || len(rec.Ranges) != len(tc.ranges) {
 				t.Fatalf("%d done in %v, want %d in %v", rec.Count, rec.Ranges, tc.count, tc.ranges)
 			}
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"garnethitch/internal/micros"
 	"garnethitch/internal/wire"
 )
@@ -65,6 +67,14 @@
 				r.saved.set(idx)
 			}
 		}
+		for idx := range min(j.sub.Tasks, 64*len(rec.Set)) {
+			if bitset(rec.Set).has(idx) {
+				if r.done.set(idx) {
+					r.count++
+				}
+				r.saved.set(idx)
+			}
+		}
 		r.steps, r.re = rec.Steps, rec.Recoveries
 	}
 	if !r.fresh {
@@ -88,11 +98,21 @@
 func (c *Core) version(j *job) (wire.VersionRecord, bitset) {
 	r := j.run
 	rec := wire.VersionRecord{Steps: r.steps, Recoveries: r.re}
+	// A pair of numbers takes at most 10 bytes, a word 9; keep well below the limit.
+	room := c.cfg.ValueBytes - 1500
+	ranges := 0
+	for i := range j.sub.Tasks {
+		if r.done.has(i) && (i == 0 || !r.done.has(i-1)) {
+			ranges++
+		}
+	}
+	if n := 9 * len(r.done); ranges > 16 && n < 6*ranges && n <= room {
+		rec.Set, rec.Count = slices.Clone(r.done), r.count
+		return rec, bitset(rec.Set)
+	}
+	// What does not fit is left out: those tasks would run again, without harm.
 	covered := newBitset(j.sub.Tasks)
-	// A pair of numbers takes at most 10 bytes; keep well below the limit. What
-	// does not fit is left out: those tasks would run again, without harm.
-	room := max((c.cfg.ValueBytes-1500)/12, 1)
-	for i := 0; i < j.sub.Tasks && len(rec.Ranges)/2 < room; {
+	for i := 0; i < j.sub.Tasks && len(rec.Ranges)/2 < max(room/12, 1); {
 		if !r.done.has(i) {
 			i++
 			continue
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -70,13 +70,15 @@
 }
 
 // VersionRecord names a state of a job to restart from: the done tasks as
-// ranges [first, last, first, last, ...] and a count, the latest steps, and a
-// mark for each recovery that preceded it.
+// ranges [first, last, first, last, ...] or, where that is shorter, as a set of
+// 64-bit words, and a count, the latest steps, and a mark for each recovery that
+// preceded it.
 type VersionRecord struct {
-	Ranges     []int   `cbor:"done"`
-	Count      int     `cbor:"count"`
-	Steps      []Step  `cbor:"steps,omitempty"`
-	Recoveries []int64 `cbor:"re,omitempty"`
+	Ranges     []int    `cbor:"done"`
+	Set        []uint64 `cbor:"set,omitempty"`
+	Count      int      `cbor:"count"`
+	Steps      []Step   `cbor:"steps,omitempty"`
+	Recoveries []int64  `cbor:"re,omitempty"`
 }
 
 // JobKey is where a job's record stands.
