--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -196,6 +196,15 @@
 			t.Errorf("%s: changed something", tc.name)
 		}
 	}
+	// The answer to a direct order that is overtaken by a newer report.
+	h.submit(jobOf("job-000002", 1))
+	order := h.orders()[0]
+	h.open = nil
+	h.checkin(report("vm-1", 1, 40, token, running, wire.TaskReport{Task: "job-000002/0", Attempt: order.Req.(wire.Orders).Commands[0].Attempt, State: wire.TaskRunning}))
+	overtaken := report("vm-1", 1, 39, token)
+	if h.step(Result{ID: order.ID, Status: 200, Body: &overtaken}); len(v.list) != 2 || v.list[0].key.attempt != a || v.list[0].state != slotRunning {
+		t.Errorf("an overtaken answer changed what runs: %d tasks", len(v.list))
+	}
 	// A new owner has no view. A copy from before its claim settles nothing.
 	h.putMachines("m-1-1", "vm-3")
 	h.run(sec)
@@ -474,3 +483,35 @@
 		}
 	}
 }
+
+// The record of a machine that was not answered may be applied at any time, so
+// the machine is recorded under no other key meanwhile.
+func TestLateRecord(t *testing.T) {
+	h := newHarness(t, nil)
+	h.c.fleet.rented["vm-1"] = &rented{kind: kind{"m", "a", true}, at: h.now}
+	call := func(seq uint64) {
+		h.ask(func(r ReplyID) Input { return Checkin{Reply: r, Report: report("vm-1", 1, seq, 0)} })
+		h.run(500 * ms)
+	}
+	h.stateDown = true
+	call(1)
+	h.stateDown = false
+	var first wire.Txn
+	for _, c := range h.held {
+		if txn, ok := c.Req.(wire.Txn); ok && len(first.Then) == 0 {
+			first = txn
+		}
+		h.step(Result{ID: c.ID}) // no answer
+	}
+	if len(first.Then) != 1 {
+		t.Fatalf("recorded by %v", first)
+	}
+	call(2)
+	h.run(2 * sec)
+	if h.c.mach["vm-1"] == nil {
+		t.Fatal("never recorded")
+	}
+	if status, _ := h.txn(first); status != 409 {
+		t.Errorf("the late record was applied beside another: %d", status)
+	}
+}
