--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -532,8 +532,14 @@
 // freeAll forgets what was on a machine. Unless ordersVoid, starts in direct
 // orders that were not answered are kept: a machine that hung may yet find them.
 func (c *Core) freeAll(m *machine, reason string, ordersVoid bool) {
-	if n := len(m.v.list); n > 0 {
-		c.log(Info, "machine holds no tasks any more, what ran there restarts from the newest Version", "machine", m.id, "reason", reason, "slots", n)
+	n := 0
+	for _, sl := range m.v.list {
+		if sl.state != slotExited {
+			n++
+		}
+	}
+	if n > 0 {
+		c.log(Info, "machine holds no tasks any more, what ran there restarts from the newest Version", "machine", m.id, "reason", reason, "tasks", n)
 	}
 	for _, sl := range m.v.each() {
 		if !ordersVoid && (sl.state == slotOrdered || sl.state == slotUnclear) {
