--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -113,14 +113,19 @@
 }
 
 // movable: a running task may be stopped so that its machine can be returned. It
-// can save, or its job is late already by what its class or its user wants.
+// can save, or its job is late already by what its class or its user wants, it
+// has not been stopped before, and most of its work is still ahead.
 func (c *Core) movable(sl *slot) bool {
-	if !sl.owned || sl.state != slotRunning {
+	if !sl.owned || sl.state != slotRunning || sl.job.run == nil {
 		return false
 	}
 	if sl.job.sub.CheckpointS > 0 {
 		return true
 	}
+	ran := c.now - sl.runAt
+	if sl.job.run.stopped[sl.idx] > 0 || 3*ran > c.runs.expect(sl.job.sub) {
+		return false
+	}
 	due := c.dueOf(sl.job)
 	return due < micros.Never && c.wall > due
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -610,6 +610,7 @@
 		case sl.job.sub.CheckpointS > 0:
 			c.stop(sl, haltSave)
 		default:
+			sl.job.run.stopped[sl.idx]++
 			c.stop(sl, haltHard)
 		}
 	}
