What costs much is stopped only after a while

In a share of hundreds of machines room for dozens of tasks comes free in seconds. Now nothing that loses more than 100 CPU seconds per task is stopped before half the time that the class is wanted started in has passed (5 s where it is not).

--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -380,7 +380,7 @@
 			// one further down the line would take what has just come free, and be
 			// stopped for it in turn.
 			if r.lookAt != 0 && v.hold.job == nil && r.arrival+c.patience(j) <= c.now && c.allowed(j, m, c.zonesOf(j)) {
-				if o := c.offer(j, m); o != nil {
+				if o := c.offer(j, m); o != nil && o.cost <= c.mostLoss(j) {
 					c.take(j, o)
 				}
 			}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 
 	"garnethitch/internal/micros"
@@ -66,7 +67,8 @@
 		}
 	}
 	heap.Init(&h)
-	for need > 0 && len(h) > 0 && c.preempt.stops > 0 {
+	most := c.mostLoss(j)
+	for need > 0 && len(h) > 0 && c.preempt.stops > 0 && h[0].cost <= most {
 		o := h[0]
 		c.take(j, o)
 		need--
@@ -214,6 +216,25 @@
 	return due
 }
 
+// mostLoss is the most that may be lost for one task of a job. Tasks end all the
+// time in a large share: for a while only what costs little is stopped, so that
+// long work that is nearly done is not thrown away for a wait of seconds (15
+// tasks that had run for 180 s each, on a day that ended two minutes later for it).
+func (c *Core) mostLoss(j *job) float64 {
+	patience := c.patience(j)
+	grace := 5 * micros.Second
+	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent {
+		grace = within / 2
+	}
+	if c.now < j.run.arrival+patience+grace {
+		return littleLoss
+	}
+	return math.Inf(1)
+}
+
+// littleLoss is what may be lost for a task at once, in CPU seconds.
+const littleLoss = 100
+
 // lossOf is the work, in CPU seconds, that stopping an attempt throws away.
 func (c *Core) lossOf(sl *slot) float64 {
 	ran := 0.0
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -548,3 +548,26 @@
 		}
 	}
 }
+
+// What may be lost for a task that waits: little at first, all once room has not
+// come free by itself for a while.
+func TestMostLoss(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.Urgent = map[string]micros.Micros{"now": 6 * sec, "soon": 40 * sec} })
+	for _, tc := range []struct {
+		class  string
+		waited micros.Micros
+		little bool
+	}{
+		{"now", 0, true}, {"now", 2 * sec, true}, {"now", 4 * sec, false},
+		{"soon", 20 * sec, true}, {"soon", 25 * sec, false},
+		{"other", 3 * sec, true}, {"other", 7 * sec, false},
+	} {
+		sub := jobOf("job-000001", 1)
+		sub.Class = tc.class
+		h.c.now = h.now
+		j := &job{sub: &sub, due: micros.Never, run: &run{arrival: h.now - tc.waited}}
+		if got := h.c.mostLoss(j) == littleLoss; got != tc.little {
+			t.Errorf("%s after %v s: little only: %v, want %v", tc.class, tc.waited.Seconds(), got, tc.little)
+		}
+	}
+}
