--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -272,7 +272,7 @@
 			free = append(free, m)
 		}
 	}
-	free = c.prefetch(s, free, true)
+	c.prefetch(s, free, true)
 	var full []shape // shapes for which no room was found
 	c.preempt.begin()
 	for i, j := range c.queue(s) {
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -50,11 +50,10 @@
 }
 
 // prefetch fetches urgent images on machines that lack them: first on empty
-// ones, before they are filled, later wherever there is room. It gives the
-// machines that still have any.
-func (c *Core) prefetch(s *share, free []*machine, empty bool) []*machine {
+// ones, before they are filled, later wherever there is room.
+func (c *Core) prefetch(s *share, free []*machine, empty bool) {
 	if !c.canAnswer() || len(c.warm) == 0 {
-		return free
+		return
 	}
 	for _, w := range c.warm {
 		sub := w.job.sub
@@ -77,7 +76,6 @@
 			v.warmNext = c.now + 10*micros.Second
 		}
 	}
-	return free
 }
 
 // warmed takes the state of a prefetching attempt.
