--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -550,6 +550,14 @@
 
 func (s *Sim) userOf(job string) *user { return s.byJob[job] }
 
+// pause is how long a machine is away: often it is back within a moment.
+func (s *Sim) pause() micros.Micros {
+	if s.chance(0.3) {
+		return s.span(50*ms, 800*ms)
+	}
+	return s.span(sec, 25*sec)
+}
+
 // scheduleFaults draws what goes wrong, overlapping as it comes.
 func (s *Sim) scheduleFaults() {
 	n := 6 + s.rng.IntN(9)
@@ -609,7 +617,7 @@
 		w := s.workers[s.names[s.rng.IntN(len(s.names))]]
 		switch s.rng.IntN(4) {
 		case 0: // hangs, and goes on
-			w.hungUntil = s.now + s.span(sec, 25*sec)
+			w.hungUntil = s.now + s.pause()
 		case 1: // fails every task
 			w.sickUntil = s.now + 40*sec
 		case 2: // taken away
@@ -621,7 +629,7 @@
 			for _, o := range s.Nodes {
 				links = append(links, o.label+"-"+w.id)
 			}
-			s.cut(links, mode, s.span(sec, 25*sec))
+			s.cut(links, mode, s.pause())
 		}
 	case 12:
 		s.State.refuse[n.label] = s.now + d
