--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -175,18 +175,23 @@
 		if skip != nil && skip(m) {
 			continue
 		}
-		k := wire.MachineKind{Type: m.rec.Type, Zone: m.rec.Zone, Spot: m.rec.Spot}
-		i := slices.Index(rec.Kinds, k)
-		if i < 0 {
-			i = len(rec.Kinds)
-			rec.Kinds = append(rec.Kinds, k)
-		}
-		rec.Machines = append(rec.Machines, wire.BatchMachine{ID: m.id, Addr: m.rec.Addr, Kind: i,
+		rec.Machines = append(rec.Machines, wire.BatchMachine{ID: m.id, Addr: m.rec.Addr, Kind: kindIn(&rec, m.kind()),
 			Retiring: m.rec.Retiring || retire != nil && retire(m)})
 	}
 	return rec
 }
 
+// kindIn gives the place of a kind in a record, which is made if need be.
+func kindIn(rec *wire.BatchRecord, k kind) int {
+	w := wire.MachineKind{Type: k.typ, Zone: k.zone, Spot: k.spot}
+	i := slices.Index(rec.Kinds, w)
+	if i < 0 {
+		i = len(rec.Kinds)
+		rec.Kinds = append(rec.Kinds, w)
+	}
+	return i
+}
+
 // rewrite is one batch's part of a transaction.
 type rewrite struct {
 	key  string
@@ -198,7 +203,7 @@
 // writeBatches writes several batches in one transaction, under a key of ours
 // with its mark. done hears whether the writes stand, and if not, whether they
 // may yet be applied.
-func (c *Core) writeBatches(prio int, under string, mark uint64, parts []rewrite, done func(ok, unclear bool)) {
+func (c *Core) writeBatches(under string, mark uint64, parts []rewrite, done func(ok, unclear bool)) {
 	txn := wire.Txn{If: []wire.Condition{{Key: under, Version: mark}}}
 	for _, p := range parts {
 		cond := wire.Condition{Key: p.key}
@@ -224,7 +229,7 @@
 		}
 		txn.Then = append(txn.Then, wire.Change{Put: p.key, Value: value})
 	}
-	c.askState(prio, txn, 1500*micros.Millisecond, func(r Result) {
+	c.askState(prioFleet, txn, 1500*micros.Millisecond, func(r Result) {
 		for _, p := range parts {
 			if p.b != nil {
 				p.b.busy = false
@@ -233,8 +238,8 @@
 		}
 		body, ok := r.Body.(*wire.Revision)
 		if !ok || r.Status != 200 {
-			executed := !r.NotSent && r.Status != 503 && r.Status != 429 && r.Status != 409
-			done(false, executed) // if it was applied after all, the watch shows it
+			unclear := !r.NotSent && r.Status != 503 && r.Status != 429 && r.Status != 409
+			done(false, unclear) // if it was applied after all, the watch shows it
 			return
 		}
 		for _, p := range parts {
@@ -257,7 +262,7 @@
 	if b.busy || c.now < b.next {
 		return
 	}
-	c.writeBatches(prioFleet, ownerKey(s.id), s.mark, []rewrite{{key: b.key, b: b, rec: recordOf(b.list, nil, nil)}}, func(ok, _ bool) {
+	c.writeBatches(ownerKey(s.id), s.mark, []rewrite{{key: b.key, b: b, rec: recordOf(b.list, nil, nil)}}, func(ok, _ bool) {
 		if !ok {
 			return
 		}
@@ -379,8 +384,7 @@
 		views[i] = m.v
 		m.v.leaving = true
 	}
-	token := func(m *machine) uint64 { return c.token(s, m) }
-	c.writeBatches(prioFleet, ownerKey(s.id), s.mark, parts, func(ok, unclear bool) {
+	c.writeBatches(ownerKey(s.id), s.mark, parts, func(ok, unclear bool) {
 		if ok {
 			return
 		}
@@ -394,7 +398,7 @@
 			}
 			// The watch shows it if it was applied. A late copy may still come, so
 			// nothing is placed here until the record has been rewritten.
-			m.v.unclear = max(m.v.unclear, token(m))
+			m.v.unclear = max(m.v.unclear, c.token(s, m))
 		}
 	})
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -248,9 +248,6 @@
 // learns addresses from it.
 func (c *Core) compareList() {
 	f := &c.fleet
-	if f.listedAt == 0 {
-		return
-	}
 	for _, s := range c.own.shares {
 		for _, m := range s.machines {
 			if l, ok := f.listed[m.id]; ok {
@@ -450,7 +447,7 @@
 		}
 	}
 	if len(parts) > 0 {
-		c.writeBatches(prioFleet, wire.KeyLeader, c.own.leader.mark, parts, func(bool, bool) {})
+		c.writeBatches(wire.KeyLeader, c.own.leader.mark, parts, func(bool, bool) {})
 	}
 }
 
--- a/internal/core/home.go
+++ b/internal/core/home.go
@@ -70,9 +70,7 @@
 	}
 	mark := c.own.leader.mark
 	f.homing[id] = true
-	c.orders.inFlight++
-	c.call(Call{To: ToWorker, Addr: rep.Addr, Req: Show{}, Timeout: orderTimeout}, func(r Result) {
-		c.orders.inFlight--
+	c.askWorker(rep.Addr, Show{}, func(r Result) {
 		if c.own.leader.mark != mark {
 			c.answer(in.Reply, 503, nil, 0)
 			return
@@ -190,16 +188,10 @@
 	}
 	for _, s := range c.own.shares {
 		for chunk := range slices.Chunk(byShare[s.id], c.batchLimit()) {
-			cr := &creating{
-				key: wire.BatchKey(s.id, c.batchName(why, c.own.leader.mark)),
-			}
+			cr := &creating{key: wire.BatchKey(s.id, c.batchName(why, c.own.leader.mark))}
 			f.creating[cr.key] = cr
 			for _, m := range chunk {
-				k := wire.MachineKind{Type: m.typ, Zone: m.zone, Spot: m.spot}
-				if m.Kind = slices.Index(cr.rec.Kinds, k); m.Kind < 0 {
-					m.Kind = len(cr.rec.Kinds)
-					cr.rec.Kinds = append(cr.rec.Kinds, k)
-				}
+				m.Kind = kindIn(&cr.rec, m.kind)
 				cr.rec.Machines = append(cr.rec.Machines, m.BatchMachine)
 				f.homing[m.ID] = true
 				if i := slices.IndexFunc(callers, func(cl caller) bool { return cl.in.Report.Machine == m.ID }); i >= 0 {
@@ -231,7 +223,7 @@
 			delete(f.homing, m.ID)
 		}
 	}
-	c.writeBatches(prioFleet, wire.KeyLeader, mark, []rewrite{{key: cr.key, rec: cr.rec}}, func(ok, unclear bool) {
+	c.writeBatches(wire.KeyLeader, mark, []rewrite{{key: cr.key, rec: cr.rec}}, func(ok, _ bool) {
 		callers := cr.callers
 		cr.callers = nil
 		for _, cl := range callers {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -80,9 +80,7 @@
 	cpus, gpus, mem float64
 	// soon is what tasks being stopped will leave.
 	soonCPUs, soonGPUs, soonMem float64
-	tasks                       int // not exited
-	assigned, stopping          int
-	exited                      int
+	tasks                       int  // not exited
 	stray                       bool // an attempt whose job is not known
 	used                        []usage
 }
@@ -191,10 +189,13 @@
 
 // addSlot puts an attempt on a machine's list.
 func (c *Core) addSlot(sl *slot) {
-	v := sl.m.v
+	sl.m.v.put(sl)
+	c.touch(sl.m)
+}
+
+func (v *view) put(sl *slot) {
 	v.slots[sl.key] = sl
 	v.list = append(v.list, sl)
-	c.touch(sl.m)
 }
 
 // dropSlot takes it off again.
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -127,16 +127,23 @@
 
 const orderTimeout = 1500 * micros.Millisecond
 
+// askWorker sends a request to a worker and counts it while it is under way.
+func (c *Core) askWorker(addr string, req any, done func(Result)) {
+	c.orders.inFlight++
+	c.call(Call{To: ToWorker, Addr: addr, Req: req, Timeout: orderTimeout}, func(r Result) {
+		c.orders.inFlight--
+		done(r)
+	})
+}
+
 // sendOrder sends commands directly. An unanswered order may still act late,
 // so its starts stay unclear until the token has been raised and seen.
 func (c *Core) sendOrder(s *share, m *machine, commands []wire.Command) {
 	v := m.v
 	v.orderBusy = true
-	c.orders.inFlight++
 	token := c.token(s, m)
 	req := wire.Orders{Token: token, Session: m.session, Commands: commands}
-	c.call(Call{To: ToWorker, Addr: m.rec.Addr, Req: req, Timeout: orderTimeout}, func(r Result) {
-		c.orders.inFlight--
+	c.askWorker(m.rec.Addr, req, func(r Result) {
 		if m.v != v {
 			return
 		}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -14,6 +14,14 @@
 // usage counts what could be on machines, by team.
 type usage struct{ cpus, gpus float64 }
 
+// sumUp adds by times what each team uses of a machine to the sums.
+func sumUp(sums, used []usage, by float64) {
+	for i, u := range used {
+		sums[i].cpus += by * u.cpus
+		sums[i].gpus += by * u.gpus
+	}
+}
+
 func (u *usage) add(sub *wire.Submission) {
 	u.cpus += sub.CPUs
 	u.gpus += sub.GPUs
@@ -75,7 +83,6 @@
 // addTo adds an attempt to a tally.
 func (c *Core) addTo(t *tally, sl *slot) {
 	if sl.state == slotExited {
-		t.exited++
 		return
 	}
 	if sl.job == nil {
@@ -88,11 +95,7 @@
 	t.gpus += sub.GPUs
 	t.mem += sub.MemGB
 	t.tasks++
-	if sl.state == slotAssigned {
-		t.assigned++
-	}
 	if sl.halt != haltNone {
-		t.stopping++
 		t.soonCPUs += sub.CPUs
 		t.soonGPUs += sub.GPUs
 		t.soonMem += sub.MemGB
@@ -111,10 +114,7 @@
 				continue
 			}
 			c.count(m)
-			for i, u := range m.v.sum.used {
-				s.used[i].cpus += u.cpus
-				s.used[i].gpus += u.gpus
-			}
+			sumUp(s.used, m.v.sum.used, 1)
 		}
 		return
 	}
@@ -123,15 +123,9 @@
 		if v == nil || !v.stale || m.rec.Share != s.id {
 			continue
 		}
-		for i, u := range v.sum.used {
-			s.used[i].cpus -= u.cpus
-			s.used[i].gpus -= u.gpus
-		}
+		sumUp(s.used, v.sum.used, -1)
 		c.count(m)
-		for i, u := range v.sum.used {
-			s.used[i].cpus += u.cpus
-			s.used[i].gpus += u.gpus
-		}
+		sumUp(s.used, v.sum.used, 1)
 	}
 	s.touched = s.touched[:0]
 }
@@ -319,25 +313,9 @@
 	}
 	cands := c.candidates(j, free)
 	zones := c.zonesOf(j)
-	for _, m := range cands {
-		for c.fits(m, j) && c.allowed(j, m, zones) {
-			idx, ok := j.nextTask()
-			if !ok {
-				return
-			}
-			if u.over(team, j.sub) {
-				return
-			}
-			if c.avoids(j, idx, m) {
-				break
-			}
-			c.assign(s, j, idx, m)
-			if zones != nil {
-				zones[m.rec.Zone]++
-			}
-			if r.probeAt != 0 {
-				return
-			}
+	for _, best := range cands {
+		if !c.fill(s, j, best.m, zones) {
+			return
 		}
 	}
 	if _, ok := j.nextTask(); !ok || u.over(team, j.sub) {
@@ -386,18 +364,30 @@
 			}
 			continue
 		}
-		zones := c.zonesOf(j)
-		for c.fits(m, j) && c.allowed(j, m, zones) {
-			idx, ok := j.nextTask()
-			if !ok || u.over(c.cfg.Teams[j.team], j.sub) || c.avoids(j, idx, m) {
-				break
-			}
-			c.assign(s, j, idx, m)
-			if zones != nil {
-				zones[m.rec.Zone]++
-			}
+		c.fill(s, j, m, c.zonesOf(j))
+	}
+}
+
+// fill assigns a job's waiting tasks to a machine as long as it has room, and
+// tells whether the job may want others as well.
+func (c *Core) fill(s *share, j *job, m *machine, zones map[string]int) bool {
+	for c.fits(m, j) && c.allowed(j, m, zones) {
+		idx, ok := j.nextTask()
+		if !ok || s.used[j.team].over(c.cfg.Teams[j.team], j.sub) {
+			return false
+		}
+		if c.avoids(j, idx, m) {
+			return true
+		}
+		c.assign(s, j, idx, m)
+		if zones != nil {
+			zones[m.rec.Zone]++
+		}
+		if j.run.probeAt != 0 {
+			return false // one task at a time
 		}
 	}
+	return true
 }
 
 // maxLooked bounds how many waiting jobs one report's answer looks at.
@@ -441,7 +431,7 @@
 
 // candidates gives the machines with room for a job's tasks, the best first:
 // those that have the image or are fetching it, then the fullest.
-func (c *Core) candidates(j *job, free []*machine) []*machine {
+func (c *Core) candidates(j *job, free []*machine) []scored {
 	list := c.scratch[:0]
 	for _, m := range free {
 		c.looks++
@@ -451,11 +441,7 @@
 	}
 	c.scratch = list
 	slices.SortStableFunc(list, func(a, b scored) int { return -cmp.Compare(a.score, b.score) })
-	out := make([]*machine, len(list))
-	for i, s := range list {
-		out[i] = s.m
-	}
-	return out
+	return list
 }
 
 // scored is a machine with how well it suits a job.
@@ -522,8 +508,7 @@
 	sl := &slot{key: key, job: j, idx: idx, m: m, state: slotAssigned, since: c.now, haltAt: -micros.Never}
 	v := m.v
 	fresh := !v.stale // then its tally can be kept, which spares counting it again
-	v.slots[key] = sl
-	v.list = append(v.list, sl)
+	v.put(sl)
 	if fresh {
 		c.addTo(&v.sum, sl)
 		s.used[j.team].add(j.sub)
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -105,10 +105,9 @@
 // unheard is for how long a machine has not been heard.
 func (c *Core) unheard(v *view) micros.Micros { return c.now - max(v.heard, v.since) }
 
-// silentReturn is how long a machine may be silent before it is returned (0: it
-// never is): by
-// default two reports' time and what it takes to try the next node, so that one
-// lost report never looks like a dead machine.
+// silentReturn is how long a machine may be silent before it is returned; 0: it
+// never is. By default it leaves time for an overdue report and for trying the
+// next node, so that one lost report never looks like a dead machine.
 func (c *Core) silentReturn() micros.Micros {
 	if c.cfg.SilentReturn >= 0 {
 		return c.cfg.SilentReturn
@@ -125,9 +124,7 @@
 	}
 	v.showNext = c.now + 2*micros.Second
 	v.showBusy = true
-	c.orders.inFlight++
-	c.call(Call{To: ToWorker, Addr: m.rec.Addr, Req: Show{}, Timeout: orderTimeout}, func(r Result) {
-		c.orders.inFlight--
+	c.askWorker(m.rec.Addr, Show{}, func(r Result) {
 		if m.v != v {
 			return
 		}
