Sockets by need, zones that are cut off, bounds that say what happens past them

Now: one table of sizes from settings; idle connections of users give way to new ones, workers' stay; answers to reports close the connection where four fifths are in use; calls bounded by side.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -275,7 +275,7 @@
 	c.amount("cluster.cloud.list_lag_s", cl.Cloud.ListLagS)
 	c.positive("cluster.resources.core_share", cl.Resources.CoreShare)
 	c.positive("cluster.resources.ram_mb", cl.Resources.RAMMB)
-	c.want(cl.Resources.Sockets >= 64, "cluster.resources.sockets", cl.Resources.Sockets, "at least 64")
+	c.want(cl.Resources.Sockets >= 128, "cluster.resources.sockets", cl.Resources.Sockets, "at least 128")
 	return c.err
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,6 +102,10 @@
 	}
 )
 
+// TooLarge is the Status of a Result whose answer came but is larger than this
+// node takes: asking the same again would bring the same.
+const TooLarge = 413
+
 // Target of a Call.
 type Target int
 
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -12,10 +12,11 @@
 
 // maxBusyRows bounds how many busy machines of a share the leader hears of: it
 // moves and empties only those that are soon or nearly empty. maxOtherRows
-// bounds each of the other states.
+// bounds each of the other states, so that a message stays within its limit; the
+// rest is told once the first are dealt with, and all of them are counted.
 const (
 	maxBusyRows  = 40
-	maxOtherRows = 300
+	maxOtherRows = 4000
 )
 
 // demands tells what the shares of this node want.
@@ -39,7 +40,7 @@
 		}
 	}
 	var busy []peer.Machine
-	others := map[int]int{}
+	others, zones := map[int]int{}, map[string]*peer.Zone{}
 	for _, m := range s.machines {
 		v, mt := m.v, c.types[m.rec.Type]
 		if v == nil || m.returned {
@@ -47,16 +48,29 @@
 		}
 		used := min(v.sum.cpus, mt.CPUs)
 		row := peer.Machine{ID: m.id, State: c.stateOf(m), Busy: used, Movable: true}
+		z := zones[m.rec.Zone]
+		if z == nil {
+			z = &peer.Zone{Name: m.rec.Zone}
+			zones[m.rec.Zone] = z
+		}
+		z.All++
 		switch row.State {
 		case peer.MachineBooting:
 			d.Booting += mt.CPUs
+			z.All--
 			continue
 		case peer.MachineDoubt:
 			row.SinceUS = int64(c.now - s.claimedAt)
+			d.Doubt++
+			if c.now-s.claimedAt > doubtReturn {
+				z.Silent++
+			}
 		case peer.MachineIdle:
 			row.SinceUS = int64(c.now - v.idleAt)
 			d.CPUs += mt.CPUs
 		case peer.MachineSilent:
+			d.Silent++
+			z.Silent++
 			row.SinceUS = int64(c.unheard(v))
 			if r := &v.reach; r.unshown > 0 {
 				row.SinceUS = max(row.SinceUS, int64(c.now-r.since))
@@ -98,6 +112,9 @@
 		d.Machines = append(d.Machines, rest[:min(len(rest), maxBusyRows)]...)
 	}
 	d.All = len(s.machines)
+	for _, name := range sortedKeys(zones) {
+		d.Zones = append(d.Zones, *zones[name])
+	}
 	d.Groups = c.groups(s)
 	return d
 }
--- a/internal/core/ears.go
+++ b/internal/core/ears.go
@@ -52,8 +52,7 @@
 			}
 		}
 	}
-	// The others name a bounded number of those that they hear.
-	if silent < 2 || 2*silent <= all || 2*elsewhere <= min(silent, maxHeard) {
+	if silent < 2 || 2*silent <= all || 2*elsewhere <= silent {
 		return
 	}
 	c.log(Info, "workers are out of reach here but not elsewhere, letting duties go", "silent", silent, "machines", all, "elsewhere", elsewhere)
--- /dev/null
+++ b/internal/core/fleet_test.go
@@ -0,0 +1,124 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// A zone counts as cut off only if hardly any of its machines is heard while
+// another zone's are, however many rows the owners name.
+func TestDarkZones(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		shares [][]peer.Zone
+		dark   string
+	}{
+		{"all heard", [][]peer.Zone{{{Name: "a", All: 100}, {Name: "b", All: 100, Silent: 3}}}, ""},
+		{"one is cut off", [][]peer.Zone{{{Name: "a", All: 100, Silent: 90}, {Name: "b", All: 100, Silent: 3}}}, "a"},
+		{"over several shares", [][]peer.Zone{{{Name: "a", All: 3, Silent: 3}, {Name: "b", All: 9}}, {{Name: "a", All: 2, Silent: 2}}}, "a"},
+		{"a tenth of all has died", [][]peer.Zone{{{Name: "a", All: 100, Silent: 10}, {Name: "b", All: 100, Silent: 10}}}, ""},
+		{"half of a zone", [][]peer.Zone{{{Name: "a", All: 100, Silent: 50}, {Name: "b", All: 100}}}, ""},
+		{"two machines say nothing of a zone", [][]peer.Zone{{{Name: "a", All: 2, Silent: 2}, {Name: "b", All: 8}}}, ""},
+		{"nobody is heard: it is not the zone", [][]peer.Zone{{{Name: "a", All: 100, Silent: 95}, {Name: "b", All: 100, Silent: 96}}}, ""},
+	} {
+		c := New(Config{Label: "a", Shares: len(tc.shares), Teams: []Team{{Name: "t"}}, StateRPS: 10, WriteRPS: 10, CloudRPS: 10}, 1)
+		demand := map[int]*peer.Demand{}
+		for i, zones := range tc.shares {
+			demand[i] = &peer.Demand{Share: i, Zones: zones}
+		}
+		dark := c.darkZones(demand)
+		if len(dark) > 1 || (tc.dark != "") != (len(dark) == 1) || tc.dark != "" && !dark[tc.dark] {
+			t.Errorf("%s: %v are dark, want %q", tc.name, dark, tc.dark)
+		}
+	}
+}
+
+// Machines of a zone that is cut off are not returned as if they had died one by
+// one; dead ones beside them are. In the end they are returned after all.
+func TestSilentReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		zone  string // of the silent machine
+		since micros.Micros
+		zones []peer.Zone
+		want  bool
+	}{
+		{"a dead machine", "a", 30 * sec, []peer.Zone{{Name: "a", All: 50, Silent: 5}, {Name: "b", All: 50}}, true},
+		{"its zone is cut off", "a", 30 * sec, []peer.Zone{{Name: "a", All: 20, Silent: 20}, {Name: "b", All: 80}}, false},
+		{"another zone is", "b", 30 * sec, []peer.Zone{{Name: "a", All: 20, Silent: 20}, {Name: "b", All: 80, Silent: 1}}, true},
+		{"its zone is, for minutes", "a", 140 * sec, []peer.Zone{{Name: "a", All: 20, Silent: 20}, {Name: "b", All: 80}}, true},
+	} {
+		c := New(Config{Label: "a", Shares: 1, Teams: []Team{{Name: "t"}}, StateRPS: 10, WriteRPS: 10, CloudRPS: 10,
+			ReportEvery: 10 * sec, WorkerLease: 45 * sec, SilentReturn: -1}, 1)
+		c.mach["vm-1"] = &machine{id: "vm-1", rec: machineRecord{Zone: tc.zone}}
+		d := &peer.Demand{All: 100, Silent: 21, Zones: tc.zones, Machines: []peer.Machine{{ID: "vm-1", State: peer.MachineSilent, SinceUS: int64(tc.since)}}}
+		c.fleet.budget.level = 10
+		c.replaceBad(map[int]*peer.Demand{0: d})
+		if got := c.fleet.returning["vm-1"]; got != tc.want {
+			t.Errorf("%s: returned %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// A controller names to another all machines of that one's shares that try it,
+// and no others: past a fixed bound those that matter went unnamed.
+func TestHeardByOwner(t *testing.T) {
+	h := newHarness(t, func(c *Config) {
+		c.Shares = 2
+		c.Peers = []string{"n-1"}
+		c.Teams = []Team{{Name: "t", CPUs: 8}, {Name: "u", CPUs: 4}}
+	})
+	h.put(ownerKey(1), wire.OwnerRecord{Label: "n-1", Incarnation: 77})
+	rec := wire.BatchRecord{Kinds: []wire.MachineKind{{Type: "m", Zone: "a"}}}
+	const machines = 3100
+	for i := 0; i < machines; i += 100 {
+		rec.Machines = nil
+		for k := range 100 {
+			rec.Machines = append(rec.Machines, wire.BatchMachine{ID: machineName(i + k), Addr: machineName(i + k)})
+		}
+		h.put(wire.BatchKey(1, fmt.Sprintf("m-1-%d", i)), rec)
+	}
+	h.settle("vm-mine")
+	for i := range machines {
+		if status, _ := h.checkin(report(machineName(i), 1, 1, 0)); status != 421 {
+			t.Fatalf("report of another's machine answered %d", status)
+		}
+	}
+	a := h.ask(func(r ReplyID) Input {
+		return PeerMessage{Reply: r, Req: peer.Request{From: "n-1", Status: &peer.Status{}}}
+	})
+	if got := len(a.Body.(*peer.Response).Status.Heard); got != machines {
+		t.Errorf("%d machines named, want %d", got, machines)
+	}
+}
+
+// A watch whose answer is too large to take leads to a fresh listing, not to the
+// same request for ever.
+func TestOutgrownWatch(t *testing.T) {
+	for _, status := range []int{410, TooLarge} {
+		h := newHarness(t, nil)
+		h.deafTo = wire.PrefixJob
+		h.submit(jobOf("job-000001", 1))
+		h.put(wire.JobKey("job-000002"), wire.JobRecord{Submission: ptr(jobOf("job-000002", 1)), State: wire.StatePending, Tasks: 1})
+		if h.c.jobs.open["job-000002"] != nil {
+			t.Fatal("known without the watch")
+		}
+		for i, w := range h.watches {
+			if w.Req.(Watch).Prefix == wire.PrefixJob {
+				h.watches = append(h.watches[:i], h.watches[i+1:]...)
+				h.step(Result{ID: w.ID, Status: status})
+				break
+			}
+		}
+		h.run(sec)
+		if h.c.jobs.open["job-000002"] == nil {
+			t.Errorf("after %d nothing was listed anew", status)
+		}
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -297,31 +297,59 @@
 	return 0
 }
 
+// darkZones tells in which zones hardly a machine is heard while others are: the
+// zone is cut off, and its machines are up all the same. What is rented there
+// could not report either.
+func (c *Core) darkZones(demand map[int]*peer.Demand) map[string]bool {
+	all, silent := map[string]int{}, map[string]int{}
+	for _, d := range demand {
+		for _, z := range d.Zones {
+			all[z.Name] += z.All
+			silent[z.Name] += z.Silent
+		}
+	}
+	dark, heard := map[string]bool{}, false
+	for name, n := range all {
+		if silent[name] >= fewSilent && 4*silent[name] >= 3*n {
+			dark[name] = true
+		} else if 2*silent[name] <= n && n > 0 {
+			heard = true
+		}
+	}
+	if !heard {
+		return nil // it is not the zone, then
+	}
+	return dark
+}
+
 // replaceBad retires machines that fail or slow tasks once they are empty,
 // returns silent ones if the operators want that, and those that hold up a
 // takeover.
 func (c *Core) replaceBad(demand map[int]*peer.Demand) {
+	c.retireBad(demand)
+	if c.cfg.SilentReturn == 0 {
+		return
+	}
+	dark := c.darkZones(demand)
 	var back []string
 	for _, id := range shareIDs(demand) {
 		d := demand[id]
-		silent, doubt := 0, 0
 		for _, m := range d.Machines {
-			switch m.State {
-			case peer.MachineSilent:
-				silent++
-			case peer.MachineDoubt:
-				doubt++
+			rec := c.mach[m.ID]
+			if rec == nil {
+				continue
+			}
+			since, limit := micros.Micros(m.SinceUS), c.silentReturn()
+			if dark[rec.rec.Zone] {
+				// One by one they look dead. What a return gains is what is left of their
+				// leases; what it costs is the fleet of a whole zone, once the cut is over.
+				limit = max(limit, darkReturn*c.cfg.WorkerLease)
 			}
-		}
-		for _, m := range d.Machines {
-			since := micros.Micros(m.SinceUS)
 			switch {
-			case m.State == peer.MachineBad:
-				c.askRelease(m.ID, peer.Release{Retire: true})
-			case m.State == peer.MachineSilent && c.cfg.SilentReturn != 0 && since > c.silentReturn() && 2*silent <= d.All:
+			case m.State == peer.MachineSilent && since > limit && 2*d.Silent <= d.All:
 				// If most are silent, the fault is rather the owner's network.
 				back = append(back, m.ID)
-			case m.State == peer.MachineDoubt && c.cfg.SilentReturn != 0 && since > doubtReturn && fewDoubt*doubt <= d.All && waitingCPUs(d) > 0:
+			case m.State == peer.MachineDoubt && since > doubtReturn && fewDoubt*d.Doubt <= d.All && waitingCPUs(d) > 0:
 				// One machine that can't be reached holds up all older jobs of its share.
 				// The cloud's answer to its return settles it.
 				back = append(back, m.ID)
@@ -331,10 +359,27 @@
 	c.returnMachines(back)
 }
 
+// retireBad asks for machines that fail or slow tasks, once they are empty.
+func (c *Core) retireBad(demand map[int]*peer.Demand) {
+	for _, id := range shareIDs(demand) {
+		for _, m := range demand[id].Machines {
+			if m.State == peer.MachineBad {
+				c.askRelease(m.ID, peer.Release{Retire: true})
+			}
+		}
+	}
+}
+
 const (
 	// doubtReturn is how long after a claim a machine may stay unsettled. Those
 	// that can be reached are settled within a few seconds.
 	doubtReturn = 5 * micros.Second
+	// fewSilent is how many machines of a zone must be silent before that says
+	// anything about the zone.
+	fewSilent = 4
+	// darkReturn is for how many leases the machines of a zone that is cut off are
+	// left before they are returned after all.
+	darkReturn = 3
 	// fewDoubt: one in so many machines of a share may be returned for it.
 	fewDoubt = 20
 )
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -231,7 +231,7 @@
 	}
 	s := c.own.shares[m.rec.Share]
 	if c.acting(s.id) == nil || m.v == nil {
-		c.heardElsewhere(rep.Machine)
+		c.heard[m.id] = c.now // bounded: it is on record
 		c.redirect(in.Reply, &s.role)
 		return
 	}
@@ -270,12 +270,6 @@
 	c.answer(r, 503, nil, 0)
 }
 
-func (c *Core) heardElsewhere(id string) {
-	if len(c.heard) < 2000 {
-		c.heard[id] = c.now
-	}
-}
-
 func newer(rep *wire.Report, v *view) bool {
 	if rep.Session != v.session {
 		return rep.Session > v.session
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -219,7 +219,7 @@
 			c.applyEvents(body.Events)
 			w.since = max(w.since, body.Revision)
 		default:
-			if r.Status == 410 {
+			if outgrown(r.Status) {
 				w.ready = false
 			} else {
 				w.openedAt = c.now // pause before the next try
@@ -229,6 +229,10 @@
 	})
 }
 
+// outgrown: changes since then are no longer kept, or are too many for one
+// answer, as after an outage or a freeze. What stands is listed again.
+func outgrown(status int) bool { return status == 410 || status == TooLarge }
+
 func (c *Core) listPage(w *watched) {
 	const page = 500
 	c.askState(prioLease, ListKeys{Prefix: w.prefix, After: w.after, Limit: page}, 3*micros.Second, func(r Result) {
@@ -426,7 +430,7 @@
 		}
 		s.catching = false
 		body, ok := r.Body.(*wire.Events)
-		if r.Status == 410 {
+		if outgrown(r.Status) {
 			w.ready = false
 		}
 		if !ok || r.Status != 200 || body.Revision < mark {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -23,9 +23,6 @@
 
 const statusEvery = micros.Second
 
-// maxHeard bounds how many machines that it hears a node names to another.
-const maxHeard = 200
-
 // maxGone bounds how many returned machines one message names.
 const maxGone = 500
 
@@ -42,7 +39,7 @@
 		}
 	}
 	for id, at := range c.heard {
-		if c.now-at > 10*micros.Second {
+		if c.now-at > 10*micros.Second || c.mach[id] == nil {
 			delete(c.heard, id)
 		}
 	}
@@ -121,7 +118,7 @@
 			Quiet:    c.noteOwned(req.Status.Owns),
 		}
 		for _, id := range sortedKeys(c.heard) {
-			if len(resp.Status.Heard) < maxHeard {
+			if m := c.mach[id]; m != nil && c.own.shares[m.rec.Share].rec.Label == req.From {
 				resp.Status.Heard = append(resp.Status.Heard, id)
 			}
 		}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -109,13 +109,13 @@
 // there are fewer than are worth their price.
 func (c *Core) rent(demand map[int]*peer.Demand, groups []peer.Group, w want, most int) {
 	f := &c.fleet
-	free := c.freeKinds(demand)
+	free, dark := c.freeKinds(demand), c.darkZones(demand)
 	inZone := map[string]int{}
 	for _, m := range c.mach {
 		inZone[m.rec.Zone]++
 	}
 	for len(f.hires) < maxHires && most > 0 {
-		req, ok := c.nextHire(groups, w, most, inZone, free)
+		req, ok := c.nextHire(groups, w, most, inZone, free, dark)
 		if !ok {
 			return
 		}
@@ -132,7 +132,7 @@
 }
 
 // nextHire chooses one rental.
-func (c *Core) nextHire(groups []peer.Group, w want, most int, inZone map[string]int, free map[kind]float64) (wire.Rental, bool) {
+func (c *Core) nextHire(groups []peer.Group, w want, most int, inZone map[string]int, free map[kind]float64, dark map[string]bool) (wire.Rental, bool) {
 	f := &c.fleet
 	// The largest waiting work decides what is rented.
 	slices.SortStableFunc(groups, func(a, b peer.Group) int {
@@ -161,7 +161,7 @@
 			for _, zone := range mt.Zones {
 				for _, spot := range []bool{true, false} {
 					k := kind{typ: name, zone: zone, spot: spot}
-					if mt.CPUs <= 0 || !c.hosts(g, name, zone, spot) || f.refused[k] != nil && c.now < f.refused[k].until {
+					if mt.CPUs <= 0 || dark[zone] || !c.hosts(g, name, zone, spot) || f.refused[k] != nil && c.now < f.refused[k].until {
 						continue
 					}
 					unit := cpuPrice(mt, spot)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,11 +42,12 @@
 // StatusAck answers a Status. Quiet lists the shares of the Status for which
 // the answering node gives no commands and will give none.
 type StatusAck struct {
-	UptimeUS int64    `msgpack:"u"`
-	StateOK  bool     `msgpack:"k"`
-	Deaf     bool     `msgpack:"e,omitempty"`
-	Quiet    []int    `msgpack:"q,omitempty"`
-	Heard    []string `msgpack:"h,omitempty"` // machines that tried the answering node of late
+	UptimeUS int64 `msgpack:"u"`
+	StateOK  bool  `msgpack:"k"`
+	Deaf     bool  `msgpack:"e,omitempty"`
+	Quiet    []int `msgpack:"q,omitempty"`
+	// Heard are machines of the asking node's shares that tried the answering one of late.
+	Heard []string `msgpack:"h,omitempty"`
 }
 
 // Owned names a share and the mark of its owner key.
@@ -65,8 +66,12 @@
 	Busy float64 `msgpack:"b"`
 	// Booting are the CPUs of machines that have not reported yet.
 	Booting float64 `msgpack:"o,omitempty"`
-	// All is how many machines are on the share's record.
-	All int `msgpack:"l,omitempty"`
+	// All counts the share's machines on record, Silent and Doubt those in these
+	// states: the rows of Machines are bounded.
+	All    int    `msgpack:"l,omitempty"`
+	Silent int    `msgpack:"k,omitempty"`
+	Doubt  int    `msgpack:"q,omitempty"`
+	Zones  []Zone `msgpack:"z,omitempty"`
 	// RunLeftUS is the work left in running tasks, in CPU microseconds.
 	RunLeftUS int64 `msgpack:"w"`
 	// Guarantee is what its unfinished jobs within their team's guarantee can use.
@@ -76,6 +81,14 @@
 	Machines    []Machine `msgpack:"m,omitempty"`
 }
 
+// Zone counts a share's machines in one zone: all that have been up, and those
+// that are not heard (any more).
+type Zone struct {
+	Name   string `msgpack:"n"`
+	All    int    `msgpack:"a"`
+	Silent int    `msgpack:"s,omitempty"`
+}
+
 // Group is a set of waiting tasks that the same machines could run.
 type Group struct {
 	Types    []string `msgpack:"t,omitempty"`
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -27,9 +27,7 @@
 	cborType    = "application/cbor"
 	msgpackType = "application/msgpack"
 	maxBody     = 64 << 10
-	maxState    = 24 << 20 // a watch has no size limit; this is ours
 	maxPeer     = 1 << 20
-	maxCalls    = 512
 )
 
 // Runtime is one running controller.
@@ -40,10 +38,12 @@
 
 	mu      sync.Mutex
 	core    *core.Core
-	replies map[core.ReplyID]*server.Reply
+	replies map[core.ReplyID]waiting
 	nextID  core.ReplyID
-	calls   int
-	timer   *time.Timer
+	// calls are under way, by core.Target, and most bounds them: what one side
+	// does not answer must not keep a lease from being renewed.
+	calls, most [4]int
+	timer       *time.Timer
 
 	srv     *server.Server
 	out     *client.Client // state, cloud and peers
@@ -52,31 +52,37 @@
 	ctx     context.Context
 }
 
+// waiting is a request that waits for its answer; report: it is a worker's.
+type waiting struct {
+	*server.Reply
+	report bool
+}
+
 // New prepares a controller.
 func New(set config.Settings, opt config.Options, log *slog.Logger, seed uint64) *Runtime {
 	rt := &Runtime{
 		set: set, log: log, start: time.Now(),
 		core:    core.New(CoreConfig(set, opt), seed),
-		replies: map[core.ReplyID]*server.Reply{},
+		replies: map[core.ReplyID]waiting{},
 		peers:   map[string]string{},
 	}
 	for _, s := range set.Seeds {
 		rt.peers[s.Label] = s.Address
 	}
-	sockets := set.Cluster.Resources.Sockets
+	sz := SizesOf(set)
 	outbound := client.Config{
-		MaxIdle: 8, MaxConns: min(max(sockets/8, 24), 400), MaxBody: maxState,
+		MaxIdle: 8, MaxConns: sz.Services, MaxBody: sz.StateBody,
 		IdleTimeout: 20 * time.Second, DialTimeout: 700 * time.Millisecond,
 	}
 	rt.out = client.New(outbound)
-	outbound.MaxIdle, outbound.MaxBody = 1, maxBody
+	outbound.MaxIdle, outbound.MaxBody, outbound.MaxConns = 1, maxBody, sz.Workers
 	rt.workers = client.New(outbound)
-	memory := int64(set.Cluster.Resources.RAMMB * (1 << 20))
+	rt.most = [...]int{core.ToState: sz.Services / 2, core.ToCloud: sz.Services / 8, core.ToWorker: sz.Workers, core.ToPeer: sz.Services * 3 / 8}
 	rt.srv = server.New(server.Config{
 		Addrs:    []string{set.ServeOn, set.InternalAddr},
-		MaxConns: sockets * 6 / 10,
-		MaxBody:  maxBody,
-		MaxHeld:  memory / 16,
+		MaxConns: sz.Serve,
+		MaxBody:  []int{maxBody, maxPeer},
+		MaxHeld:  sz.Held,
 		Half:     10 * time.Second,
 		Idle:     75 * time.Second,
 		Log:      log,
@@ -97,7 +103,7 @@
 		Cancel:      micros.FromSeconds(cl.Workers.CancelS),
 		StateRPS:    cl.State.RPS, WriteRPS: cl.State.WriteRPS,
 		ValueBytes: int(cl.State.ValueKB * 1024), TxnOps: cl.State.TxnOps,
-		Asks:     min(max(cl.Resources.Sockets/30, 8), 96),
+		Asks:     SizesOf(set).Asks,
 		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
 		SilentReturn: silentReturn(opt),
 		DrainHorizon: micros.FromSeconds(opt.DrainHorizonS),
@@ -219,17 +225,19 @@
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
 	rt.nextID++
-	rt.replies[rt.nextID] = r
-	rt.stepLocked(make(rt.nextID))
+	in := make(rt.nextID)
+	_, report := in.(core.Checkin)
+	rt.replies[rt.nextID] = waiting{r, report}
+	rt.stepLocked(in)
 }
 
 func (rt *Runtime) answer(a core.Answer) {
-	r, ok := rt.replies[a.Reply]
+	w, ok := rt.replies[a.Reply]
 	if !ok {
 		return
 	}
 	delete(rt.replies, a.Reply)
-	out := server.Answer{Status: a.Status, RetryAfterS: a.RetryAfterS, ContentType: cborType}
+	out := server.Answer{Status: a.Status, RetryAfterS: a.RetryAfterS, ContentType: cborType, Spare: w.report}
 	if a.Body != nil {
 		var err error
 		if resp, isPeer := a.Body.(*peer.Response); isPeer {
@@ -243,13 +251,14 @@
 			out = server.Answer{Status: 503, RetryAfterS: 1}
 		}
 	}
-	r.Send(out)
+	w.Send(out)
 }
 
 // handle routes a request.
 func (rt *Runtime) handle(req server.Request) {
 	r, msg := req.Reply(), &req.Msg
 	if req.Listener == 1 {
+		req.Keep()
 		rt.handlePeer(r, msg)
 		return
 	}
@@ -265,6 +274,9 @@
 		if !only("POST") {
 			return
 		}
+		// Users find another node at once; a worker that is turned away from one after
+		// the other loses its lease.
+		req.Keep()
 		rep, err := wire.ParseReport(msg.Body)
 		if err != nil {
 			rt.log.Debug("report not readable", "error", err)
@@ -322,17 +334,17 @@
 
 // call sends one request in the background and feeds its result back.
 func (rt *Runtime) call(call core.Call) {
-	if rt.calls >= maxCalls {
+	if rt.calls[call.To] >= rt.most[call.To] {
 		go rt.step(core.Result{ID: call.ID, NotSent: true})
 		return
 	}
-	rt.calls++
+	rt.calls[call.To]++
 	go func() {
 		res := rt.do(call)
 		res.ID = call.ID
 		rt.mu.Lock()
 		defer rt.mu.Unlock()
-		rt.calls--
+		rt.calls[call.To]--
 		rt.stepLocked(res)
 	}()
 }
@@ -355,6 +367,9 @@
 	msg, err := cl.Do(rt.ctx, out)
 	if err != nil {
 		rt.log.Debug("no answer", "method", out.Method, "target", out.Target, "addr", out.Addr, "error", err)
+		if errors.Is(err, http1.ErrBodyLarge) {
+			return core.Result{Status: core.TooLarge}
+		}
 		if !errors.Is(err, client.ErrBusy) {
 			cl.Forget(out.Addr)
 		}
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -5,6 +5,7 @@
 
 	"garnethitch/internal/config"
 	"garnethitch/internal/micros"
+	"garnethitch/internal/server"
 )
 
 // Of several objectives for a class the strictest counts; and what follows from
@@ -38,3 +39,62 @@
 		}
 	}
 }
+
+// One controller left alone serves every worker, at half as many machines again
+// as a deployment is planned for, and some users beside; what it keeps for calls
+// is enough for them; all of it fits into what the settings give.
+func TestSizes(t *testing.T) {
+	const users = 200 // connections of users and probes that come and go
+	for _, tc := range []struct {
+		name     string
+		sockets  int
+		ramMB    float64
+		machines int
+	}{
+		{"inkingi", 5000, 451, 28},
+		{"magnolia", 1800, 179, 40},
+		{"inkingi grown", 5000, 451, 2180},
+		{"magnolia grown", 1800, 179, 701},
+		{"inkingi fleet", 4317, 441, 2036},
+		{"magnolia fleet", 3282, 322, 1219},
+		{"the least that starts", 128, 32, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var set config.Settings
+			set.Cluster.Resources = config.Resources{Sockets: tc.sockets, RAMMB: tc.ramMB}
+			sz := SizesOf(set)
+			if need := tc.machines*3/2 + users; tc.machines > 0 && sz.Serve < need {
+				t.Errorf("serves %d connections, needs %d", sz.Serve, need)
+			}
+			if all := server.Sockets(sz.Serve) + sz.Services + sz.Workers; all >= tc.sockets {
+				t.Errorf("%d sockets planned of %d", all, tc.sockets)
+			}
+			if sz.Asks > sz.Workers || sz.Serve < 1 || sz.Services < 16 {
+				t.Errorf("no room for calls: %+v", sz)
+			}
+			if ram := int(tc.ramMB * (1 << 20)); sz.StateBody < 2*page || 3*sz.StateBody+int(sz.Held) > ram/2 {
+				t.Errorf("answers of %d bytes in %d", sz.StateBody, ram)
+			}
+		})
+	}
+}
+
+// Whoever asks too much of one side leaves the others their calls: a call past
+// its side's bound fails at once.
+func TestCallBounds(t *testing.T) {
+	var set config.Settings
+	set.Cluster.Resources = config.Resources{Sockets: 4317, RAMMB: 441}
+	set.Cluster.Nodes = 1
+	sz := SizesOf(set)
+	rt := New(set, config.Defaults(), nil, 1)
+	sum := 0
+	for side, most := range rt.most {
+		if most < 2 {
+			t.Errorf("side %d may have %d calls", side, most)
+		}
+		sum += most
+	}
+	if sum > sz.Services+sz.Workers {
+		t.Errorf("%d calls over %d connections", sum, sz.Services+sz.Workers)
+	}
+}
--- /dev/null
+++ b/internal/runtime/sizes.go
@@ -0,0 +1,46 @@
+package runtime
+
+import (
+	"garnethitch/internal/config"
+	"garnethitch/internal/server"
+)
+
+// Sizes divide what the settings give a process among its uses. They are worked
+// out here and nowhere else. What is not needed for calls serves: any controller
+// may be left alone with every worker and user.
+type Sizes struct {
+	Services int // connections to the state service, the cloud and the other controllers
+	Workers  int // connections to workers, kept ones included
+	Asks     int // requests to workers under way
+	Serve    int // connections served
+	// StateBody bounds one answer of the state service: a watch has no limit of
+	// its own. A larger one leads to a fresh listing. Held bounds unparsed input.
+	StateBody int
+	Held      int64
+}
+
+// reserved are sockets beside connections: listeners, poll sets, standard streams,
+// and those that a restart of serving may hold for a moment.
+const reserved = 24
+
+// page is the most that the state service puts into one page of a listing.
+const page = 512 << 10
+
+// SizesOf works the sizes out.
+func SizesOf(set config.Settings) Sizes {
+	res := set.Cluster.Resources
+	sz := Sizes{
+		// Requests to the state service are bounded by its rate; each takes
+		// milliseconds, or at most some seconds in an outage.
+		Services: min(max(res.Sockets/16, 16), 256),
+		Asks:     min(max(res.Sockets/30, 8), 96),
+	}
+	sz.Workers = min(max(res.Sockets/16, 2*sz.Asks), 256)
+	sz.Serve = res.Sockets - sz.Services - sz.Workers - reserved
+	sz.Serve -= server.Sockets(sz.Serve) - sz.Serve
+	sz.Serve = max(sz.Serve, 1)
+	ram := int(res.RAMMB * (1 << 20))
+	sz.StateBody = min(max(ram/16, 2*page), 24<<20)
+	sz.Held = int64(max(ram/16, 2*page))
+	return sz
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 package server
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -36,6 +37,10 @@
 	Body        []byte
 	RetryAfterS int
 	Close       bool
+	// Spare closes the connection if few places are left: whoever asks again only
+	// after a while needs no kept one, and the number open at a time then follows
+	// the rate of requests, not the number of clients.
+	Spare bool
 }
 
 // Handler is called on the serving goroutine for each request; it must not
@@ -46,7 +51,7 @@
 type Config struct {
 	Addrs    []string // IP:port, in the order of Listener numbers
 	MaxConns int
-	MaxBody  int
+	MaxBody  []int         // by Listener
 	MaxHeld  int64         // bytes of unparsed input held over all connections
 	Half     time.Duration // a request must arrive whole within this
 	Idle     time.Duration // a connection may be without a request for this
@@ -60,12 +65,24 @@
 	maxDrain = 1 << 20
 )
 
+// evictions is how many connections may be on their way out to make room for
+// new ones. They hold their sockets until then, so MaxConns and these must fit.
+const evictions = 32
+
+// Sockets is the most that a server with so many connections holds open.
+func Sockets(maxConns int) int { return maxConns + evictions }
+
 // Server is the running state.
 type Server struct {
 	cfg   Config
 	held  atomic.Int64
 	conns map[*conn]struct{} // used on the serving goroutine only
-	stop  atomic.Bool
+	// loose are the connections that give way when there is no place left, the
+	// longest unused first: all that Keep was not called for. Serving goroutine only.
+	loose    *list.List
+	evicting int
+	open     atomic.Int64 // len(conns), for answers given elsewhere
+	stop     atomic.Bool
 }
 
 // conn is one connection. Its fields are guarded by mu, since answers may come
@@ -84,10 +101,13 @@
 	started  time.Time // when the first byte of an incomplete request came
 	lastUsed time.Time
 	idx      Listener
+	place    *list.Element // in loose; nil: it is kept. Serving goroutine only
+	evicted  bool          // serving goroutine only
 }
 
 // Reply answers one request.
 type Reply struct {
+	s    *Server
 	c    *conn
 	done atomic.Bool
 	// closeAfter: the client asked for it.
@@ -96,7 +116,45 @@
 
 // New makes a server; Run starts it.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, conns: map[*conn]struct{}{}}
+	return &Server{cfg: cfg, conns: map[*conn]struct{}{}, loose: list.New()}
+}
+
+// Keep says that the request's connection does not give way to others: its
+// client counts on it. It is to be called by the handler, before it returns.
+func (r *Request) Keep() {
+	if c := r.reply.c; c.place != nil {
+		r.reply.s.loose.Remove(c.place)
+		c.place = nil
+	}
+}
+
+// crowded: few places are left.
+func (s *Server) crowded() bool { return int(s.open.Load()) > s.cfg.MaxConns*4/5 }
+
+// makeRoom asks the connection that has been unused for longest, of those that
+// give way, to close; false if there is none.
+func (s *Server) makeRoom() bool {
+	if s.evicting >= evictions {
+		return false
+	}
+	for e := s.loose.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*conn)
+		c.mu.Lock()
+		free := !c.waiting
+		if free {
+			c.closing = true
+		}
+		c.mu.Unlock()
+		if !free {
+			continue // it waits for an answer
+		}
+		s.loose.Remove(e)
+		c.place, c.evicted = nil, true
+		s.evicting++
+		c.ev.Wake()
+		return true
+	}
+	return false
 }
 
 // Run serves until ctx ends. If evio's loop ends by itself (it does on any
@@ -132,16 +190,21 @@
 
 func (s *Server) events() evio.Events {
 	clear(s.conns)
+	s.loose.Init()
+	s.evicting = 0
+	s.open.Store(0)
 	return evio.Events{
 		NumLoops: 1,
 		Opened: func(ec evio.Conn) ([]byte, evio.Options, evio.Action) {
 			// A full table would make accept fail, which ends evio's loop: stay below it.
-			if len(s.conns) >= s.cfg.MaxConns {
+			if len(s.conns)-s.evicting >= s.cfg.MaxConns && !s.makeRoom() {
 				return nil, evio.Options{}, evio.Close
 			}
 			c := &conn{ev: ec, lastUsed: s.cfg.Now(), idx: Listener(ec.AddrIndex())}
+			c.place = s.loose.PushBack(c)
 			ec.SetContext(c)
 			s.conns[c] = struct{}{}
+			s.open.Store(int64(len(s.conns)))
 			return nil, evio.Options{ReuseInputBuffer: true}, evio.None
 		},
 		Closed: func(ec evio.Conn, _ error) evio.Action {
@@ -152,6 +215,13 @@
 				c.in, c.out = nil, nil
 				c.mu.Unlock()
 				delete(s.conns, c)
+				s.open.Store(int64(len(s.conns)))
+				if c.place != nil {
+					s.loose.Remove(c.place)
+				}
+				if c.evicted {
+					s.evicting--
+				}
 			}
 			return evio.None
 		},
@@ -186,11 +256,15 @@
 	}
 	if len(in) > 0 {
 		c.lastUsed = now
+		if c.place != nil {
+			s.loose.MoveToBack(c.place)
+		}
+		maxBody := s.cfg.MaxBody[c.idx]
 		if len(c.in) == 0 {
 			c.started = now
 		}
-		if len(c.in)+len(in) > s.cfg.MaxBody+2*maxHead || s.held.Add(int64(len(in))) > s.cfg.MaxHeld {
-			if len(c.in)+len(in) <= s.cfg.MaxBody+2*maxHead {
+		if len(c.in)+len(in) > maxBody+2*maxHead || s.held.Add(int64(len(in))) > s.cfg.MaxHeld {
+			if len(c.in)+len(in) <= maxBody+2*maxHead {
 				s.held.Add(-int64(len(in)))
 			}
 			c.closing = true
@@ -221,7 +295,7 @@
 // next parses one request and hands it on; false when more input is needed.
 // The lock is held on entry and exit, but not while the handler runs.
 func (s *Server) next(c *conn, now time.Time) bool {
-	msg, n, err := http1.ParseRequest(c.in, http1.Limits{Head: maxHead, Body: s.cfg.MaxBody})
+	msg, n, err := http1.ParseRequest(c.in, http1.Limits{Head: maxHead, Body: s.cfg.MaxBody[c.idx]})
 	switch {
 	case errors.Is(err, http1.ErrShort):
 		return false
@@ -246,7 +320,7 @@
 	}
 	c.started = now
 	c.waiting = true
-	reply := &Reply{c: c, closeAfter: msg.Close}
+	reply := &Reply{s: s, c: c, closeAfter: msg.Close}
 	c.mu.Unlock()
 	s.cfg.Handler(Request{Listener: c.idx, Msg: msg, reply: reply})
 	c.mu.Lock()
@@ -264,7 +338,7 @@
 	if c.closed {
 		return
 	}
-	closing := a.Close || r.closeAfter
+	closing := a.Close || r.closeAfter || a.Spare && r.s.crowded()
 	c.out = http1.AppendResponse(c.out, a.Status, a.ContentType, a.Body, a.RetryAfterS, closing)
 	c.waiting = false
 	if closing {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -28,10 +28,15 @@
 func serve(t *testing.T, maxConns int) string {
 	addr := freeAddr(t)
 	s := New(Config{
-		Addrs: []string{addr}, MaxConns: maxConns, MaxBody: 1000, MaxHeld: 10_000,
+		Addrs: []string{addr}, MaxConns: maxConns, MaxBody: []int{1000}, MaxHeld: 10_000,
 		Half: time.Hour, Idle: time.Hour, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now,
 		Handler: func(r Request) {
-			answer := func() { r.Reply().Send(Answer{Status: 200, Body: append([]byte(r.Msg.Path+" "), r.Msg.Body...)}) }
+			if r.Msg.Path == "/keep" {
+				r.Keep()
+			}
+			answer := func() {
+				r.Reply().Send(Answer{Status: 200, Body: append([]byte(r.Msg.Path+" "), r.Msg.Body...), Spare: r.Msg.Path == "/spare"})
+			}
 			if r.Msg.Path == "/later" {
 				go answer()
 				return
@@ -119,31 +124,60 @@
 	}
 }
 
-// Half a request that grows beyond the bound ends the connection, and so does
-// a connection beyond the bound on their number; others are served on.
+// ask sends a request on a connection; the path "/keep" makes it one that does
+// not give way.
+func ask(t *testing.T, c net.Conn, path string) *http.Response {
+	t.Helper()
+	if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+// Past the bound on connections the longest unused one that may give way makes
+// room; where none may, the new one is refused. Those that are kept are served on.
 func TestBounds(t *testing.T) {
-	addr := serve(t, 2)
-	first, second := dial(t, addr), dial(t, addr)
-	for _, c := range []net.Conn{first, second} {
-		if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\n\r\n"); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
-			t.Fatal(err)
+	addr := serve(t, 3)
+	kept, idle, later := dial(t, addr), dial(t, addr), dial(t, addr)
+	ask(t, kept, "/keep")
+	ask(t, idle, "/a")
+	ask(t, later, "/a")
+	for i, c := range []net.Conn{dial(t, addr), dial(t, addr)} {
+		ask(t, c, "/keep")
+		gone := []net.Conn{idle, later}[i]
+		if _, err := gone.Read(make([]byte, 1)); err == nil {
+			t.Errorf("connection %d did not give way", i)
 		}
 	}
-	third := dial(t, addr)
-	if _, err := third.Read(make([]byte, 1)); err == nil {
+	refused := dial(t, addr)
+	if _, err := refused.Read(make([]byte, 1)); err == nil {
 		t.Error("a connection beyond the bound is served")
 	}
+	ask(t, kept, "/b")
+}
+
+// Half a request that grows beyond the bound ends the connection.
+func TestEndlessRequest(t *testing.T) {
+	addr := serve(t, 2)
+	first, second := dial(t, addr), dial(t, addr)
+	ask(t, first, "/a")
 	_, _ = io.WriteString(second, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\na\r\n", 5000))
 	if _, err := io.ReadAll(second); err != nil && !strings.Contains(err.Error(), "reset") {
 		t.Errorf("reading after an endless request: %v", err)
 	}
-	if _, err := io.WriteString(first, "GET /b HTTP/1.1\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	if resp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || resp.StatusCode != 200 {
-		t.Errorf("the other connection: %v", err)
+	ask(t, first, "/b")
+}
+
+// When few places are left, clients that can come back are asked to.
+func TestSpare(t *testing.T) {
+	addr := serve(t, 5)
+	for i := range 5 {
+		if resp := ask(t, dial(t, addr), "/spare"); resp.Close != (i == 4) {
+			t.Errorf("connection %d of 5: close %v", i+1, resp.Close)
+		}
 	}
 }
