--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -32,6 +32,8 @@
 	// tasks less often.
 	Grown  bool
 	Faults bool
+	// Fleet adds troubles that hit many machines or all controllers at a time.
+	Fleet bool
 	// Length is how long faults and submissions go on; after that all is well
 	// and every job must come to its end within Rest.
 	Length, Rest micros.Micros
@@ -63,6 +65,8 @@
 	Restarts          int
 	// Copies counts late copies of reports, Deaf machines that were out of reach.
 	Copies, Deaf int
+	// ZoneCuts, Died, Hung and Frozen count what hits many at a time.
+	ZoneCuts, Died, Hung, Frozen int
 	// Trace, if set, hears what happens.
 	Trace func(string)
 	// copiesUntil: until then many reports are copied.
@@ -140,6 +144,9 @@
 	if p.Faults {
 		s.scheduleFaults()
 	}
+	if p.Fleet {
+		s.scheduleFleetFaults()
+	}
 	return s
 }
 
@@ -269,7 +276,7 @@
 
 func (s *Sim) chance(p float64) bool { return s.rng.Float64() < p }
 
-func (s *Sim) zone() string { return [...]string{"east", "west"}[s.rng.IntN(2)] }
+func (s *Sim) zone() string { return zones[s.rng.IntN(len(zones))] }
 
 // delay of one message: mostly short, now and then long.
 func (s *Sim) delay() micros.Micros {
@@ -341,6 +348,9 @@
 	answer map[core.ReplyID]func(core.Answer)
 	wake   micros.Micros
 	recent []core.Call
+	// frozenUntil: until then the process stands still, and what comes in waits.
+	frozenUntil micros.Micros
+	waiting     []core.Input
 }
 
 func (n *Node) start() {
@@ -355,6 +365,7 @@
 		}
 	}
 	n.life++
+	n.frozenUntil, n.waiting = 0, nil
 	n.core = core.New(cfg, n.sim.rng.Uint64())
 	n.answer = map[core.ReplyID]func(core.Answer){}
 	n.wake = micros.Never
@@ -387,6 +398,10 @@
 	if n.core == nil {
 		return
 	}
+	if n.sim.now < n.frozenUntil {
+		n.waiting = append(n.waiting, in)
+		return
+	}
 	at := core.Instant{Steady: n.steady(), Wall: n.sim.now + micros.Micros(n.id)*3*ms}
 	for _, e := range n.core.Step(at, in) {
 		switch e := e.(type) {
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -23,6 +23,12 @@
 	{Name: "blue", CPUs: 300, CPUsMax: 700}, {Name: "grey", CPUs: 150, CPUsMax: 400},
 }
 
+// fleetTeam have room for over a thousand.
+var fleetTeam = []core.Team{
+	{Name: "red", CPUs: 1200, CPUsMax: 2000}, {Name: "green", CPUs: 600, CPUsMax: 1600},
+	{Name: "blue", CPUs: 1200, CPUsMax: 2800}, {Name: "grey", CPUs: 600, CPUsMax: 1600},
+}
+
 // seeds lets a longer search be asked for: GARNETHITCH_SEEDS=500.
 func seeds(n int) int {
 	if v, err := strconv.Atoi(os.Getenv("GARNETHITCH_SEEDS")); err == nil && v > 0 {
@@ -49,6 +55,10 @@
 		{"troubles, one node", oneTeam, Plan{Nodes: 1, Machines: 6, Jobs: 12, Faults: true}, 6},
 		{"grown, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 300, Jobs: 60, Grown: true, Faults: true}, 2},
 		{"grown, teams parted", grownTeam, Plan{Nodes: 3, Machines: 300, Jobs: 60, Grown: true, Faults: true}, 2},
+		{"many at a time, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 20, Jobs: 30, Faults: true, Fleet: true}, 12},
+		{"many at a time, teams parted", fourTeam, Plan{Nodes: 3, Machines: 20, Jobs: 30, Faults: true, Fleet: true}, 12},
+		{"fleet, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 1200, Jobs: 120, Grown: true, Faults: true, Fleet: true}, 2},
+		{"fleet, teams parted", fleetTeam, Plan{Nodes: 3, Machines: 1200, Jobs: 120, Grown: true, Faults: true, Fleet: true}, 2},
 	} {
 		for seed := range seeds(r.seeds) {
 			t.Run(fmt.Sprintf("%s/%d", r.name, seed), func(t *testing.T) {
@@ -63,6 +73,9 @@
 				for _, b := range s.Broken {
 					t.Error(b)
 				}
+				if p.Fleet && (s.ZoneCuts < 3 || p.Machines > 100 && (s.Died == 0 || s.Hung == 0)) {
+					t.Errorf("too little happened: %d zone cuts, %d dead, %d hung, %d frozen", s.ZoneCuts, s.Died, s.Hung, s.Frozen)
+				}
 				if s.Started == 0 || s.Finished == 0 {
 					t.Errorf("nothing ran: %d started, %d finished", s.Started, s.Finished)
 				}
