Each job begins in time, however pressed its share is

A job with nothing started for begin_s (120 s) gets one task ahead of all; where that needs a whole machine, room is kept on the one that has it soonest, and the task is the last to be stopped. Both guards taken out: TestBegins fails.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -113,6 +113,9 @@
 	DrainHorizonS float64 `yaml:"drain_horizon_s"`
 	// IdleReturnS is how long a machine may idle before it is returned.
 	IdleReturnS float64 `yaml:"idle_return_s"`
+	// BeginS is the longest that a job should wait for the first start of one of
+	// its tasks, however pressed the fleet is; 0: no limit.
+	BeginS float64 `yaml:"begin_s"`
 	// MaxMachines bounds the fleet.
 	MaxMachines int `yaml:"max_machines"`
 	// MemoryShare is the part of ram_mb given to Go's memory limit.
@@ -127,6 +130,7 @@
 		LeaseMS:       4000,
 		DrainHorizonS: 60,
 		IdleReturnS:   25,
+		BeginS:        120,
 		MaxMachines:   10000,
 		MemoryShare:   0.6,
 		QuarantineS:   120,
@@ -323,6 +327,7 @@
 	}
 	c.positive("drain_horizon_s", o.DrainHorizonS)
 	c.amount("idle_return_s", o.IdleReturnS)
+	c.amount("begin_s", o.BeginS)
 	c.want(o.MaxMachines >= 1 && o.MaxMachines <= 100_000, "max_machines", o.MaxMachines, "1 to 100000")
 	c.want(o.MemoryShare > 0 && o.MemoryShare <= 0.95, "memory_share", o.MemoryShare, "above 0, at most 0.95")
 	c.amount("quarantine_s", o.QuarantineS)
--- /dev/null
+++ b/internal/core/begin.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"garnethitch/internal/micros"
+)
+
+// However pressed a share is, each of its jobs begins in time: one that has
+// waited for long with nothing started gets one task ahead of all others. That
+// takes little from them, and shows its user (and the estimates of its class)
+// what it does. Large jobs of the lowest priority had begun after 280 to 370 s on
+// days on which a fleet was pressed to its end.
+
+// overdue: the job should have begun.
+func (c *Core) overdue(j *job) bool {
+	r := j.run
+	return c.cfg.BeginWithin > 0 && r != nil && r.firstRun == 0 && r.count == 0 && len(r.active) == 0 && c.waited(j) > c.cfg.BeginWithin
+}
+
+// waited is how long ago a job was accepted.
+func (c *Core) waited(j *job) micros.Micros {
+	return c.wall - micros.Micros(j.rec.AcceptedMS)*micros.Millisecond
+}
+
+// onlyStart: the attempt is all that an overdue job has got, and is not to be
+// stopped for another if that can be helped.
+func (c *Core) onlyStart(sl *slot) bool {
+	r := sl.job.run
+	return c.cfg.BeginWithin > 0 && sl.owned && r != nil && r.count == 0 && len(r.active) == 1 && c.waited(sl.job) > c.cfg.BeginWithin
+}
+
+// keptForStart is how long a machine's room is kept for an overdue job before
+// another is tried.
+const keptForStart = 45 * micros.Second
+
+// keepRoom keeps the room that comes free on one machine for an overdue job that
+// found none: where small tasks take every piece at once, a task that needs a
+// whole machine would never start. Nothing is stopped for it.
+func (c *Core) keepRoom(s *share, j *job) {
+	r := j.run
+	if !c.overdue(j) || c.now < r.keptUntil || c.preempt.looks <= 0 {
+		return
+	}
+	c.preempt.looks--
+	zones := c.zonesOf(j)
+	var best *machine
+	soonest := micros.Never
+	for _, m := range s.machines {
+		c.looks++
+		if m.v == nil || !c.usable(m) || m.v.hold.job != nil && c.now < m.v.hold.until || !c.allowed(j, m, zones) || r.fails[m.id] > 0 {
+			continue
+		}
+		if at := c.roomAfter(j, m); at < soonest {
+			best, soonest = m, at
+		}
+	}
+	if best == nil {
+		return
+	}
+	r.keptUntil = c.now + keptForStart
+	best.v.hold = hold{job: j, cpus: j.sub.CPUs, gpus: j.sub.GPUs, mem: j.sub.MemGB, until: r.keptUntil}
+	c.log(Debug, "room is kept for a job that should have begun", "job", j.id, "machine", best.id, "in_s", soonest.Seconds())
+}
+
+// roomAfter is in how much time a machine's tasks will probably have left enough
+// room for one of a job's; Never if they can't.
+func (c *Core) roomAfter(j *job, m *machine) micros.Micros {
+	mt, v := c.types[m.rec.Type], m.v
+	cpus, gpus, mem := mt.CPUs-v.sum.cpus, mt.GPUs-v.sum.gpus, mt.MemGB-v.sum.mem
+	type end struct {
+		sl   *slot
+		left micros.Micros
+	}
+	var ends []end
+	for _, sl := range v.list {
+		if sl.job != nil && sl.state != slotExited {
+			ends = append(ends, end{sl, c.left(sl)})
+		}
+	}
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.sl.idx, b.sl.idx)) })
+	after := micros.Micros(0)
+	for _, e := range ends {
+		if cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB {
+			return after
+		}
+		after = e.left
+		cpus, gpus, mem = cpus+e.sl.job.sub.CPUs, gpus+e.sl.job.sub.GPUs, mem+e.sl.job.sub.MemGB
+	}
+	if cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB {
+		return after
+	}
+	return micros.Never
+}
+
+// left is how long an attempt will probably take yet.
+func (c *Core) left(sl *slot) micros.Micros {
+	left := c.runs.expect(sl.job.sub)
+	if sl.runAt > 0 {
+		left = max(left-(c.now-sl.runAt), left/10)
+	}
+	return left
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,8 +43,10 @@
 	SilentReturn micros.Micros // 0: never; below 0: derived from ReportEvery
 	DrainHorizon micros.Micros
 	IdleReturn   micros.Micros
-	Quarantine   micros.Micros
-	MaxMachines  int
+	// BeginWithin is the longest that a job should wait for its first start; 0: no limit.
+	BeginWithin micros.Micros
+	Quarantine  micros.Micros
+	MaxMachines int
 
 	// Urgent holds the classes whose tasks are wanted started within a time,
 	// Finished those whose jobs are wanted done within one; the strictest counts.
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -88,10 +88,7 @@
 			} else if sl.job.sub.CheckpointS <= 0 {
 				row.LostUS += int64(float64(c.now-sl.runAt) * sl.job.sub.CPUs)
 			}
-			left := c.runs.expect(sl.job.sub)
-			if sl.runAt > 0 {
-				left = max(left-(c.now-sl.runAt), left/10)
-			}
+			left := c.left(sl)
 			row.LeftUS = max(row.LeftUS, int64(left))
 			d.RunLeftUS += int64(float64(left) * sl.job.sub.CPUs)
 		}
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -122,3 +122,76 @@
 }
 
 func ptr[T any](v T) *T { return &v }
+
+// A job that has waited for long begins with one task ahead of all others, also
+// where it needs a whole machine and small tasks take every piece that comes free.
+func TestBegins(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		cpus   float64
+		within micros.Micros
+		want   bool
+	}{
+		{"small tasks", 1, 30 * sec, true},
+		{"a whole machine", 4, 30 * sec, true},
+		{"no limit set", 4, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.BeginWithin = tc.within })
+			token := h.settle("vm-1")
+			h.submit(jobOf("job-000001", 400)) // and more of the same to come
+			big := jobOf("job-000002", 50)
+			big.CPUs, big.MemGB, big.Priority = tc.cpus, 4, "best_effort"
+			h.submit(big)
+			h.dropCalls()
+			seq := uint64(10)
+			var running []wire.TaskReport
+			begun := 0
+			for range 120 { // one task ends each half second
+				h.run(sec / 2)
+				h.dropCalls()
+				seq++
+				if len(running) > 0 {
+					running[0].State, running[0].Why = wire.TaskExited, wire.WhyDone
+				}
+				_, body := h.checkin(report("vm-1", 1, seq, token, running...))
+				if len(running) > 0 {
+					running = running[1:]
+				}
+				for _, cmd := range starts(body.Commands) {
+					running = append(running, wire.TaskReport{Task: cmd.Task, Attempt: cmd.Attempt, State: wire.TaskRunning})
+					if id, _, _ := wire.ParseTask(cmd.Task); id == big.ID {
+						begun++
+					}
+				}
+			}
+			if (begun > 0) != tc.want {
+				t.Errorf("%d of its tasks were started", begun)
+			}
+			if begun > 3 {
+				t.Errorf("%d of its tasks were started: more than it takes to begin", begun)
+			}
+		})
+	}
+}
+
+// What an overdue job has begun with is the last to be stopped for others.
+func TestOnlyStart(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.BeginWithin = 30 * sec })
+	attempt := func(waited micros.Micros, others int) *slot {
+		sub := jobOf("job-000001", 10)
+		j := &job{sub: &sub, rec: wire.JobRecord{AcceptedMS: (h.now - waited).Millis()}, run: &run{stopped: map[int]int{}, active: map[int]*slot{}}}
+		sl := &slot{job: j, runAt: h.now - sec, owned: true}
+		for i := range 1 + others {
+			j.run.active[i] = sl
+		}
+		return sl
+	}
+	h.c.now, h.c.wall = h.now, h.now
+	if a, b := h.c.lossOf(attempt(sec, 0)), h.c.lossOf(attempt(40*sec, 0)); a >= b {
+		t.Errorf("loss %v of a young job's only task, %v of an overdue one's", a, b)
+	}
+	if a, b := h.c.lossOf(attempt(40*sec, 0)), h.c.lossOf(attempt(40*sec, 3)); a <= b {
+		t.Errorf("loss %v of an only task, %v of one of several", a, b)
+	}
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -25,6 +25,7 @@
 	knownAt  micros.Micros
 	run      *run    // set at the owner
 	turn     float64 // its place among others of its kind; see queue
+	late     bool    // it should have begun; see overdue
 	within   bool    // it fits into its team's guarantee; see markGuaranteed
 }
 
@@ -61,6 +62,7 @@
 	// failAfter is the longest that a task of it ran before it failed.
 	failAfter micros.Micros
 	firstRun  micros.Micros
+	keptUntil micros.Micros // until then room is kept for its start; see keepRoom
 	lookAt    micros.Micros // not before then are others stopped for it again
 }
 
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -182,11 +182,13 @@
 		}
 	}
 	for _, j := range s.queue {
+		j.late = c.overdue(j)
 		work := float64(j.sub.Tasks-j.run.count) * j.sub.CPUs * c.runs.expect(j.sub).Seconds()
 		j.turn = float64(j.rec.AcceptedMS)/1000 + turnFactor*work/cpus
 	}
 	slices.SortFunc(s.queue, func(a, b *job) int {
 		return cmp.Or(
+			-cmp.Compare(b2i(a.late), b2i(b.late)),
 			-cmp.Compare(a.priority, b.priority),
 			-cmp.Compare(b2i(a.within), b2i(b.within)),
 			cmp.Compare(a.turn, b.turn),
@@ -309,6 +311,7 @@
 	plain := j.sub.Plain()
 	if plain && slices.ContainsFunc(*full, func(f shape) bool { return f.covers(want) }) {
 		c.makeRoom(s, j)
+		c.keepRoom(s, j)
 		return
 	}
 	cands := c.candidates(j, free)
@@ -325,6 +328,7 @@
 		*full = append(*full, want)
 	}
 	c.makeRoom(s, j)
+	c.keepRoom(s, j)
 }
 
 // placeOn gives a machine that has just told of itself what waits and fits, in
@@ -379,7 +383,12 @@
 		if c.avoids(j, idx, m) {
 			return true
 		}
+		begins := c.overdue(j)
 		c.assign(s, j, idx, m)
+		if begins {
+			s.queueStale = true
+			return false // the others wait for their turn
+		}
 		if zones != nil {
 			zones[m.rec.Zone]++
 		}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -253,6 +253,9 @@
 	if r := sl.job.run; r != nil {
 		again = float64(r.stopped[sl.idx])
 	}
+	if c.onlyStart(sl) {
+		again += 10
+	}
 	return ran*sl.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[sl.job.priority] +
 		prio*(4+0.25*c.runs.expect(sl.job.sub).Seconds()) + stoppedBefore*again
 }
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -107,6 +107,7 @@
 		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
 		SilentReturn: silentReturn(opt),
 		DrainHorizon: micros.FromSeconds(opt.DrainHorizonS),
+		BeginWithin:  micros.FromSeconds(opt.BeginS),
 		IdleReturn:   micros.FromSeconds(opt.IdleReturnS),
 		Quarantine:   micros.FromSeconds(opt.QuarantineS),
 		MaxMachines:  opt.MaxMachines,
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -118,7 +118,7 @@
 		Lease: 3 * sec, ReportEvery: 2 * sec, WorkerLease: 12 * sec, Cancel: 25 * sec,
 		StateRPS: 300, WriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 8, Asks: 24, SilentReturn: -1,
 		CloudRPS: 10, ListLag: 2 * sec,
-		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
+		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, BeginWithin: 60 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
 		Urgent: map[string]micros.Micros{"rush": 3 * sec},
 	}
 	for i := range p.Nodes {
