--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,6 +55,9 @@
 type Instant struct {
 	Steady micros.Micros
 	Wall   micros.Micros // time of day
+	// Took is how long the step before took, with what it gave to do: on a small
+	// share of a core much longer than on a whole one.
+	Took micros.Micros
 }
 
 // ReplyID names a request that waits for its answer.
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -38,6 +38,8 @@
 
 	mu      sync.Mutex
 	core    *core.Core
+	took    micros.Micros // by the step before
+	meter   meter
 	replies map[core.ReplyID]waiting
 	nextID  core.ReplyID
 	// calls are under way, by core.Target, and most bounds them: what one side
@@ -194,6 +196,7 @@
 
 func (rt *Runtime) stepLocked(in core.Input) {
 	at := rt.instant()
+	at.Took = rt.took
 	for _, e := range rt.core.Step(at, in) {
 		switch e := e.(type) {
 		case core.Answer:
@@ -204,6 +207,9 @@
 			rt.logLine(e)
 		}
 	}
+	end := rt.instant().Steady
+	rt.took = end - at.Steady
+	rt.meter.add(in, at.Steady, rt.took, rt.log)
 	if rt.timer != nil {
 		rt.timer.Reset(max((rt.core.Wake() - at.Steady).Duration(), time.Millisecond))
 	}
