Under load what can't wait goes first: rounds and walks rest by what they took; fewer collections

The runtime tells the core how long the step before took; a round or a walk is followed by four times that without another. Leases and peers are looked after all the same (TestRest).

--- a/garnethitch.go
+++ b/garnethitch.go
@@ -57,6 +57,9 @@
 // process's memory limit and its number of running threads from the settings.
 func (c *Controller) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(c.set.Cluster.Resources.RAMMB * c.opt.MemoryShare * (1 << 20)))
+	// Memory is plenty and a fraction of a core is not: collect seldom. The limit
+	// above makes it collect more often when memory runs short.
+	debug.SetGCPercent(400)
 	// One thread waits in evio's poll; a second keeps timers and calls from
 	// waiting until the scheduler notices.
 	runtime.GOMAXPROCS(2)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -235,6 +235,9 @@
 	attempts uint64
 	dirty    bool // placement has something to look at
 	schedAt  micros.Micros
+	walkAt   micros.Micros // when house looks at all machines and jobs again
+	// placed and walked: the step before ran a round, or looked at everything.
+	placed, walked bool
 }
 
 // New makes a core. Equal seeds and inputs give equal effects.
@@ -279,6 +282,7 @@
 		c.lastHouse = c.now - micros.Second
 	}
 	c.wake = c.lastHouse + housekeeping
+	c.rest(at.Took)
 	switch v := in.(type) {
 	case Tick:
 	case Submit:
@@ -317,6 +321,30 @@
 // housekeeping is how often time alone is looked at.
 const housekeeping = 100 * micros.Millisecond
 
+// On a share of a core that does not suffice, work on everything must leave most
+// of the time to what can't wait: our own lease, reports, answers. So a round, or
+// a walk over all machines and jobs, is followed by restFactor times what it took
+// without another (with controllers three times as slow as they should be and half
+// as many machines again, rounds ran back to back, reports were answered too late
+// and 10,000 tasks ended with the leases of their machines).
+const (
+	restFactor = 4
+	mostRest   = 2 * micros.Second
+)
+
+// rest puts the next round and walk off by what the step before took.
+func (c *Core) rest(took micros.Micros) {
+	until := c.now + min(restFactor*took, mostRest)
+	if c.placed {
+		c.placed = false
+		c.schedAt = max(c.schedAt, until)
+	}
+	if c.walked {
+		c.walked = false
+		c.walkAt = until
+	}
+}
+
 // Wake says when Step wants to be called at the latest.
 func (c *Core) Wake() micros.Micros { return c.wake }
 
@@ -355,6 +383,10 @@
 func (c *Core) house() {
 	c.houseOwnership()
 	c.housePeers()
+	if c.now < c.walkAt {
+		return
+	}
+	c.walked = true
 	c.houseEars()
 	c.houseMachines()
 	c.houseJobs()
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -196,3 +196,42 @@
 		t.Errorf("loss %v of an only task, %v of one of several", a, b)
 	}
 }
+
+// Where steps take long, rounds and walks over everything are spaced, and leases
+// are renewed all the same.
+func TestRest(t *testing.T) {
+	for _, tc := range []struct {
+		took         micros.Micros
+		fewest, most int // rounds in 20 s
+		walksAtLeast int
+	}{
+		{0, 250, 400, 150},
+		{10 * ms, 150, 400, 100},
+		{250 * ms, 10, 20, 10},
+		{30 * sec, 8, 12, 8},
+	} {
+		h := newHarness(t, nil)
+		rounds, walks := 0, 0
+		for end := h.now + 20*sec; h.now < end; {
+			h.now += 20 * ms
+			h.c.dirty = true
+			for _, e := range h.c.Step(Instant{Steady: h.now, Wall: h.now, Took: tc.took}, Tick{}) {
+				if call, ok := e.(Call); ok {
+					h.call(call)
+				}
+			}
+			if h.c.placed {
+				rounds++
+			}
+			if h.c.walked {
+				walks++
+			}
+			if h.now-h.c.own.renewed > h.c.cfg.Lease/2 {
+				t.Fatalf("steps of %v s: the lease was not renewed", tc.took.Seconds())
+			}
+		}
+		if rounds < tc.fewest || rounds > tc.most || walks < tc.walksAtLeast {
+			t.Errorf("steps of %v s: %d rounds and %d walks in 20 s, want %d to %d", tc.took.Seconds(), rounds, walks, tc.fewest, tc.most)
+		}
+	}
+}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -44,7 +44,7 @@
 		if c.now < c.schedAt {
 			c.wakeIn(c.schedAt - c.now)
 		} else {
-			c.dirty = false
+			c.dirty, c.placed = false, true
 			c.schedAt = c.now + placeEvery
 			for _, s := range c.own.shares {
 				if c.acting(s.id) != nil {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -38,6 +38,7 @@
 
 	mu      sync.Mutex
 	core    *core.Core
+	wakeAt  micros.Micros // what the timer is set to
 	took    micros.Micros // by the step before
 	meter   meter
 	replies map[core.ReplyID]waiting
@@ -211,8 +212,12 @@
 	end := rt.instant().Steady
 	rt.took = end - at.Steady
 	rt.meter.add(in, at.Steady, rt.took, rt.log)
-	if rt.timer != nil {
-		rt.timer.Reset(max((rt.core.Wake() - at.Steady).Duration(), time.Millisecond))
+	// Setting the timer wakes whoever waits for it, which costs system calls: it is
+	// left alone while it is right. After a Tick it has fired and is to be set again.
+	_, fired := in.(core.Tick)
+	if wake := rt.core.Wake(); rt.timer != nil && (fired || wake != rt.wakeAt) {
+		rt.wakeAt = wake
+		rt.timer.Reset(max((wake - end).Duration(), time.Millisecond))
 	}
 }
 
