--- a/internal/runtime/meter.go
+++ b/internal/runtime/meter.go
@@ -21,7 +21,7 @@
 
 const meterEvery = 10 * micros.Second
 
-func (m *meter) add(in core.Input, at, took micros.Micros, log *slog.Logger) {
+func (m *meter) add(in core.Input, at, took micros.Micros, open func() int, log *slog.Logger) {
 	if m.count == nil {
 		m.since, m.count, m.took = at, map[string]int{}, map[string]micros.Micros{}
 	}
@@ -47,7 +47,7 @@
 	if at-m.since < meterEvery {
 		return
 	}
-	args := []any{"span_ms", (at - m.since).Millis()}
+	args := []any{"span_ms", (at - m.since).Millis(), "connections", open()}
 	for _, k := range slices.Sorted(maps.Keys(m.count)) {
 		args = append(args, k, fmt.Sprintf("%d in %d ms", m.count[k], m.took[k].Millis()))
 	}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -211,7 +211,7 @@
 	}
 	end := rt.instant().Steady
 	rt.took = end - at.Steady
-	rt.meter.add(in, at.Steady, rt.took, rt.log)
+	rt.meter.add(in, at.Steady, rt.took, rt.srv.Open, rt.log)
 	// Setting the timer wakes whoever waits for it, which costs system calls: it is
 	// left alone while it is right. After a Tick it has fired and is to be set again.
 	_, fired := in.(core.Tick)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -128,8 +128,11 @@
 	}
 }
 
+// Open is how many connections are served.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
 // crowded: few places are left.
-func (s *Server) crowded() bool { return int(s.open.Load()) > s.cfg.MaxConns*4/5 }
+func (s *Server) crowded() bool { return s.Open() > s.cfg.MaxConns*4/5 }
 
 // makeRoom asks the connection that has been unused for longest, of those that
 // give way, to close; false if there is none.
