No cascade of takeovers: renewals at a steady pace; deaf without peers too, never for lack of time

A controller without time took its machines for unreachable and let go as well. And one that had lost its workers while peers were refused kept its share for 50 s, since no peer could say that it heard them: 10,000 tasks ended with leases. Each guard has a test that fails without it (TestLateRenewals, TestDeaf).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -236,6 +236,7 @@
 	dirty    bool // placement has something to look at
 	schedAt  micros.Micros
 	walkAt   micros.Micros // when house looks at all machines and jobs again
+	behindAt micros.Micros // when this node was last behind; see behind
 	// placed and walked: the step before ran a round, or looked at everything.
 	placed, walked bool
 }
@@ -253,7 +254,7 @@
 		types:   map[string]wire.MachineType{},
 		heard:   map[string]micros.Micros{},
 		teamOf:  map[string]int{},
-		began:   -1,
+		began:   -1, behindAt: -micros.Never,
 	}
 	nodes := float64(len(cfg.Peers) + 1)
 	c.stateq.requests = newBucket(cfg.StateRPS * 0.95 / nodes)
@@ -281,6 +282,9 @@
 		c.stateq.requests.at, c.stateq.writes.at, c.fleet.budget.at = c.now, c.now, c.now
 		c.lastHouse = c.now - micros.Second
 	}
+	if c.now-c.lastHouse > tooLate {
+		c.behindAt = c.now
+	}
 	c.wake = c.lastHouse + housekeeping
 	c.rest(at.Took)
 	switch v := in.(type) {
@@ -332,6 +336,14 @@
 	mostRest   = 2 * micros.Second
 )
 
+// tooLate: a step that comes so long after housekeeping was last due shows that
+// this node had no time, or stood still.
+const tooLate = micros.Second
+
+// behind: this node was short of time within a span, so that what it has not
+// heard says nothing about others.
+func (c *Core) behind(span micros.Micros) bool { return c.now-c.behindAt < span }
+
 // rest puts the next round and walk off by what the step before took.
 func (c *Core) rest(took micros.Micros) {
 	until := c.now + min(restFactor*took, mostRest)
--- a/internal/core/ears.go
+++ b/internal/core/ears.go
@@ -30,6 +30,9 @@
 		c.probe()
 		return
 	}
+	if c.behind(c.silence()) {
+		return // it may just not have come to read what they sent
+	}
 	silent, elsewhere, all := 0, 0, 0
 	for _, s := range c.own.shares {
 		if c.acting(s.id) == nil {
@@ -52,7 +55,19 @@
 			}
 		}
 	}
-	if silent < 2 || 2*silent <= all || 2*elsewhere <= silent {
+	if silent < 2 || 2*silent <= all {
+		return
+	}
+	if c.anyPeerAlive() {
+		if 2*elsewhere <= silent {
+			return
+		}
+	} else if len(c.cfg.Peers) == 0 || 10*silent < 9*all || !c.stateFresh() {
+		// No peer can be asked. That nearly all machines have fallen silent while the
+		// state service answers is rather this node's network than all of theirs; and
+		// if it is not, nothing is lost (peers refused and workers lost at a time: a
+		// node held its share for 50 s while 10,000 tasks ended with their machines'
+		// leases).
 		return
 	}
 	c.log(Info, "workers are out of reach here but not elsewhere, letting duties go", "silent", silent, "machines", all, "elsewhere", elsewhere)
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -235,3 +235,79 @@
 		}
 	}
 }
+
+// A controller that has lost the workers lets its duties go; one that is behind
+// itself, or in a fleet that has lost some machines, does not.
+func TestDeaf(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		silent    int // of 10 machines
+		peersDown bool
+		stateDown bool
+		late      bool // its steps come seconds apart
+		want      bool
+	}{
+		{"all are heard", 0, true, false, false, false},
+		{"some are silent, no peer to ask", 6, true, false, false, false},
+		{"all are silent, no peer to ask", 10, true, false, false, true},
+		{"all are silent, and so is the state service", 10, true, true, false, false},
+		{"all are silent, and not heard by the peer either", 10, false, false, false, false},
+		{"all are silent, but it has no time to read", 10, true, false, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"}; c.MaxMachines = 100 })
+			h.submit(jobOf("job-000001", 4000)) // or idle machines would be returned
+			h.run(8 * sec) // it comes to lead as well, and lists lag
+			tokens := map[string]uint64{}
+			for i := range 10 {
+				tokens[machineName(i)] = h.settle(machineName(i))
+			}
+			h.peersDown, h.stateDown = tc.peersDown, tc.stateDown
+			seq := uint64(10)
+			for range 20 {
+				if tc.late {
+					h.now += 3 * sec / 2
+				}
+				h.run(sec / 2)
+				h.dropCalls()
+				seq++
+				for i := range 10 - tc.silent {
+					h.checkin(report(machineName(i), 1, seq, tokens[machineName(i)]))
+				}
+			}
+			if h.c.ears.deaf != tc.want {
+				t.Errorf("deaf: %v, want %v", h.c.ears.deaf, tc.want)
+			}
+		})
+	}
+}
+
+// Renewals go out at a steady pace while answers are late, and one that comes
+// late counts from when it was sent.
+func TestLateRenewals(t *testing.T) {
+	h := newHarness(t, nil)
+	var sent []Call
+	var at []micros.Micros
+	for end := h.now + 30*sec; h.now < end; {
+		h.now += 20 * ms
+		for _, e := range h.c.Step(Instant{Steady: h.now, Wall: h.now}, Tick{}) {
+			if call, ok := e.(Call); ok {
+				if _, renew := call.Req.(RenewLease); renew {
+					sent, at = append(sent, call), append(at, h.now)
+				} else if call.To != ToWorker {
+					h.call(call)
+				}
+			}
+		}
+		for len(at) > 0 && h.now >= at[0]+2500*ms { // each answer takes 2.5 s
+			h.step(Result{ID: sent[0].ID, Status: 200})
+			sent, at = sent[1:], at[1:]
+		}
+		if len(sent) > mostRenewals {
+			t.Fatalf("%d renewals under way", len(sent))
+		}
+		if !h.c.canAnswer() {
+			t.Fatalf("may not answer, %v s after the last renewal that counts", (h.now - h.c.own.renewed).Seconds())
+		}
+	}
+}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -69,7 +69,7 @@
 type ownership struct {
 	lease     uint64
 	asking    bool
-	renewing  bool
+	renewals  int           // under way
 	renewed   micros.Micros // when the last successful renewal was sent
 	nextRenew micros.Micros
 	contact   micros.Micros // when the state service last answered anything
@@ -121,7 +121,7 @@
 	switch {
 	case o.lease == 0 && !o.asking:
 		c.newLease()
-	case o.lease != 0 && !o.renewing && c.now >= o.nextRenew:
+	case o.lease != 0 && o.renewals < mostRenewals && c.now >= o.nextRenew:
 		c.renewLease()
 	}
 	c.follow(&o.ctl)
@@ -153,12 +153,19 @@
 	})
 }
 
+// renewLease asks for more time at a steady pace, whether the last answers have
+// come or not: a renewal counts from when it was sent, so that a late answer is
+// worth something yet. (On a share of a core that did not suffice, answers took
+// more than a second; with one renewal at a time, given up after a second, three
+// controllers lost their leases to each other, each taking over more than it could
+// bear.)
 func (c *Core) renewLease() {
 	o := &c.own
-	o.renewing = true
+	o.renewals++
 	asked, lease := c.now, o.lease
-	c.askState(prioLease, RenewLease{Lease: lease}, min(micros.Second, c.cfg.Lease/4), func(r Result) {
-		o.renewing = false
+	o.nextRenew = asked + c.cfg.Lease/4
+	c.askState(prioLease, RenewLease{Lease: lease}, c.cfg.Lease, func(r Result) {
+		o.renewals--
 		if o.lease != lease {
 			return
 		}
@@ -169,18 +176,20 @@
 			}
 			o.renewed = max(o.renewed, asked)
 			o.contact = c.now
-			o.nextRenew = asked + c.cfg.Lease/4
 			c.dirty = true
 		case 404:
 			c.log(Info, "lease lost, giving up all duties", "lease", lease)
 			o.contact = c.now
 			c.loseLease()
 		default:
-			o.nextRenew = c.now + c.jitter(150*micros.Millisecond)
+			o.nextRenew = min(o.nextRenew, c.now+c.jitter(150*micros.Millisecond))
 		}
 	})
 }
 
+// mostRenewals bounds those under way.
+const mostRenewals = 4
+
 // loseLease forgets every duty that hung on the lease.
 func (c *Core) loseLease() {
 	c.own.lease = 0
