--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -257,7 +257,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"}; c.MaxMachines = 100 })
 			h.submit(jobOf("job-000001", 4000)) // or idle machines would be returned
-			h.run(8 * sec) // it comes to lead as well, and lists lag
+			h.run(8 * sec)                      // it comes to lead as well, and lists lag
 			tokens := map[string]uint64{}
 			for i := range 10 {
 				tokens[machineName(i)] = h.settle(machineName(i))
