--- a/internal/core/ears.go
+++ b/internal/core/ears.go
@@ -70,7 +70,7 @@
 		// leases).
 		return
 	}
-	c.log(Info, "workers are out of reach here but not elsewhere, letting duties go", "silent", silent, "machines", all, "elsewhere", elsewhere)
+	c.log(Info, "workers are out of reach here, letting duties go", "silent", silent, "machines", all, "elsewhere", elsewhere)
 	e.deaf, e.good = true, 0
 	for _, s := range c.own.shares {
 		if s.active && !s.handing && c.isMine(&s.role) {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -25,6 +25,7 @@
 	knownAt  micros.Micros
 	run      *run    // set at the owner
 	turn     float64 // its place among others of its kind; see queue
+	place    int     // in its share's queue
 	late     bool    // it should have begun; see overdue
 	within   bool    // it fits into its team's guarantee; see markGuaranteed
 }
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -516,6 +516,8 @@
 	delete(j.run.active, sl.idx)
 	if !j.run.done.has(sl.idx) {
 		j.requeue(sl.idx)
+		s := c.own.shares[j.share]
+		s.firstWait = min(s.firstWait, j.place)
 		if lost {
 			c.noteRecovery(j)
 			c.log(Debug, "task lost, restarting from the newest Version", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -28,6 +28,9 @@
 	recount  bool       // all of them are
 	used     []usage    // what could be on them at most, by team
 	queue    []*job     // unfinished jobs in the order in which they are served
+	// firstWait: no job before this place in the queue has a task that waits, so
+	// that a report need not pass hundreds of them.
+	firstWait int
 	// queueStale: a job has come or gone since.
 	queueStale bool
 	queueNext  micros.Micros // when it is put in order again
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -195,9 +195,22 @@
 			cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS),
 			cmp.Compare(a.id, b.id))
 	})
+	s.firstWait = 0
+	for i, j := range s.queue {
+		j.place = i
+	}
 	return s.queue
 }
 
+// waiting is the queue from the first job on that has tasks waiting.
+func (c *Core) waiting(s *share) []*job {
+	queue := c.queue(s)
+	for s.firstWait < len(queue) && (queue[s.firstWait].run == nil || queue[s.firstWait].pending() <= 0) {
+		s.firstWait++
+	}
+	return queue[s.firstWait:]
+}
+
 // Among jobs of one priority, in or beyond a guarantee, those with little work
 // left go first: more of them are in time, and more users are served soon. A job
 // ages meanwhile, so that a large one waits for later ones by no more than
@@ -344,7 +357,7 @@
 	}
 	mt := c.types[m.rec.Type]
 	looked := 0
-	for _, j := range c.queue(s) {
+	for _, j := range c.waiting(s) {
 		c.looks++
 		if mt.CPUs-v.sum.cpus <= eps || looked >= maxLooked {
 			return
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -93,6 +93,8 @@
 		machines, jobs, tasks int
 	}{
 		{"many machines", 2200, 20, 500},
+		{"a fleet, large arrays", 3100, 150, 2000},
+		{"a fleet, many jobs", 1900, 500, 90},
 		{"many jobs", 200, 300, 200},
 		{"long arrays", 200, 20, 20_000},
 	} {
@@ -105,7 +107,7 @@
 // TestWorkPerRound: a round over all machines looks at each of them a few
 // times, however many tasks wait.
 func TestWorkPerRound(t *testing.T) {
-	for _, tc := range []struct{ machines, jobs, tasks int }{{200, 20, 500}, {2200, 20, 500}, {2200, 300, 500}, {700, 20, 20_000}} {
+	for _, tc := range []struct{ machines, jobs, tasks int }{{200, 20, 500}, {2200, 20, 500}, {2200, 300, 500}, {3100, 150, 2000}, {1900, 500, 90}, {700, 20, 20_000}} {
 		h := bigHarness(t, tc.machines, tc.jobs, tc.tasks)
 		before := h.c.looks
 		h.now += micros.Second
@@ -120,7 +122,7 @@
 // BenchmarkReport shows how a report's cost grows; read allocations and the
 // ratio between sizes, not the time.
 func BenchmarkReport(b *testing.B) {
-	for _, size := range []struct{ machines, jobs, tasks int }{{50, 20, 2000}, {700, 100, 1000}, {2200, 300, 1000}} {
+	for _, size := range []struct{ machines, jobs, tasks int }{{50, 20, 2000}, {700, 100, 1000}, {2200, 300, 1000}, {3100, 150, 2000}} {
 		b.Run(fmt.Sprintf("%d machines %d jobs", size.machines, size.jobs), func(b *testing.B) {
 			h := bigHarness(b, size.machines, size.jobs, size.tasks)
 			b.ReportAllocs()
@@ -134,7 +136,7 @@
 
 // BenchmarkRound is a whole round with everything full.
 func BenchmarkRound(b *testing.B) {
-	for _, machines := range []int{50, 700, 2200} {
+	for _, machines := range []int{50, 700, 2200, 3100} {
 		b.Run(fmt.Sprintf("%d machines", machines), func(b *testing.B) {
 			h := bigHarness(b, machines, 100, 1000)
 			b.ReportAllocs()
