What holds up a takeover is returned where what stands still is worth more

One in twenty was the bound for returning them. Now the leader weighs what stands still until they are free by themselves against renting them anew; only machines that left two requests unanswered count, and they are asked less often.

--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -60,8 +60,11 @@
 			z.All--
 			continue
 		case peer.MachineDoubt:
-			row.SinceUS = int64(c.now - s.claimedAt)
+			if v.unanswered >= 2 {
+				row.SinceUS = int64(c.now - s.claimedAt)
+			}
 			d.Doubt++
+			d.HeldUS = max(int64(s.freeAt-c.now), 0)
 			if c.now-s.claimedAt > doubtReturn {
 				z.Silent++
 			}
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -311,3 +311,47 @@
 		}
 	}
 }
+
+// Machines that can't be reached hold up a takeover: they are returned if what
+// stands still meanwhile is worth more than they are, and not if it is rather the
+// owner that can't reach them.
+func TestDoubtReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		doubt int // of 100 machines with 4 CPUs
+		held  micros.Micros
+		busy  float64
+		wait  int
+		since micros.Micros // for those asked twice
+		dark  bool
+		want  bool
+	}{
+		{"one of many", 1, 40 * sec, 300, 1000, 6 * sec, false, true},
+		{"a fifth, for long", 20, 40 * sec, 200, 1000, 6 * sec, false, true},
+		{"a fifth, for a moment only", 20, 5 * sec, 200, 1000, 6 * sec, false, false},
+		{"nothing waits", 20, 40 * sec, 200, 0, 6 * sec, false, false},
+		{"not asked twice yet", 20, 40 * sec, 200, 1000, 0, false, false},
+		{"most of them: rather the owner's network", 60, 60 * sec, 0, 1000, 6 * sec, false, false},
+		{"most of them, in a zone that is cut off", 60, 60 * sec, 0, 10000, 6 * sec, true, true},
+	} {
+		c := New(Config{Label: "a", Shares: 1, Teams: []Team{{Name: "t"}}, StateRPS: 10, WriteRPS: 10, CloudRPS: 10,
+			ReportEvery: 10 * sec, WorkerLease: 45 * sec, SilentReturn: -1}, 1)
+		c.types = map[string]wire.MachineType{"m": {Name: "m", CPUs: 4, BootS: 5}}
+		d := &peer.Demand{All: 100, Doubt: tc.doubt, HeldUS: int64(tc.held), CPUs: float64(4 * (100 - tc.doubt)), Busy: tc.busy,
+			RunLeftUS: int64(tc.busy * 20e6), Groups: []peer.Group{{Any: true, CPUs: 1, Waiting: tc.wait}},
+			Zones: []peer.Zone{{Name: "a", All: tc.doubt}, {Name: "b", All: 100 - tc.doubt}}}
+		if tc.dark {
+			d.Zones[0].Silent = tc.doubt
+		}
+		for i := range tc.doubt {
+			id := machineName(i)
+			c.mach[id] = &machine{id: id, rec: machineRecord{Zone: "a", Type: "m"}}
+			d.Machines = append(d.Machines, peer.Machine{ID: id, State: peer.MachineDoubt, SinceUS: int64(tc.since)})
+		}
+		c.fleet.budget.level = 10
+		c.replaceBad(map[int]*peer.Demand{0: d})
+		if got := len(c.fleet.returning) == tc.doubt; got != tc.want || !tc.want && len(c.fleet.returning) > 0 {
+			t.Errorf("%s: %d returned, want it: %v", tc.name, len(c.fleet.returning), tc.want)
+		}
+	}
+}
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -334,6 +334,8 @@
 	var back []string
 	for _, id := range shareIDs(demand) {
 		d := demand[id]
+		var doubt []string
+		cost := 0.0 // of returning those in doubt, in CPU seconds
 		for _, m := range d.Machines {
 			rec := c.mach[m.ID]
 			if rec == nil {
@@ -349,16 +351,34 @@
 			case m.State == peer.MachineSilent && since > limit && 2*d.Silent <= d.All:
 				// If most are silent, the fault is rather the owner's network.
 				back = append(back, m.ID)
-			case m.State == peer.MachineDoubt && since > doubtReturn && fewDoubt*d.Doubt <= d.All && waitingCPUs(d) > 0:
-				// One machine that can't be reached holds up all older jobs of its share.
-				// The cloud's answer to its return settles it.
-				back = append(back, m.ID)
+			case m.State == peer.MachineDoubt && since > doubtReturn && (2*d.Doubt <= d.All || dark[rec.rec.Zone]):
+				// What can't be reached holds up all older jobs of its share. The cloud's
+				// answer to its return settles it.
+				doubt = append(doubt, m.ID)
+				cost += c.types[rec.rec.Type].CPUs * (c.types[rec.rec.Type].BootS + rentDelay)
 			}
 		}
+		if len(doubt) > 0 && heldUp(d) > cost {
+			c.log(Info, "returning machines that hold up a takeover", "share", id, "machines", len(doubt), "cpu_s_held_up", heldUp(d), "cpu_s_to_replace", cost)
+			back = append(back, doubt...)
+		}
 	}
 	c.returnMachines(back)
 }
 
+// heldUp is what stands unused, in CPU seconds, until the machines in doubt are
+// free by themselves: what is free now, and what comes free meanwhile, as far as
+// work waits for it. (A share of 800 machines stood still for 47 s after a takeover
+// while 160 of them were in a zone that was cut off.)
+func heldUp(d *peer.Demand) float64 {
+	held, waiting := micros.Micros(d.HeldUS).Seconds(), waitingCPUs(d)
+	unused := (d.CPUs - d.Busy) * held
+	if d.Busy > 0 {
+		unused += d.Busy * max(0, held-micros.Micros(d.RunLeftUS).Seconds()/d.Busy)
+	}
+	return min(unused, waiting*held)
+}
+
 // retireBad asks for machines that fail or slow tasks, once they are empty.
 func (c *Core) retireBad(demand map[int]*peer.Demand) {
 	for _, id := range shareIDs(demand) {
@@ -374,12 +394,12 @@
 	// doubtReturn is how long after a claim a machine may stay unsettled. Those
 	// that can be reached are settled within a few seconds.
 	doubtReturn = 5 * micros.Second
+	// rentDelay is what renting a machine takes beside its boot time, in seconds.
+	rentDelay = 10
 	// fewSilent is how many machines of a zone must be silent before that says
 	// anything about the zone.
 	fewSilent = 4
 	// darkReturn is for how many leases the machines of a zone that is cut off are
 	// left before they are returned after all.
 	darkReturn = 3
-	// fewDoubt: one in so many machines of a share may be returned for it.
-	fewDoubt = 20
 )
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -63,6 +63,7 @@
 	showBusy    bool
 	orderNext   micros.Micros
 	showNext    micros.Micros
+	unanswered  int    // requests to settle it that were not answered
 	unclear     uint64 // orders up to this token may still act; 0: none
 	warmNext    micros.Micros
 	takenAt     micros.Micros // the cloud takes it away then; 0: no notice
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -170,6 +170,9 @@
 				v.unclear = max(v.unclear, token)
 			}
 		}
+		if !ok {
+			v.unanswered++
+		}
 		if !executed {
 			v.orderNext = c.now + 2*micros.Second
 		}
@@ -191,7 +194,8 @@
 	if v.settled || m.returned || v.orderBusy || c.now < v.showNext || m.rec.Addr == "" || c.acting(s.id) == nil || !c.orders.mayAsk() {
 		return
 	}
-	v.showNext = c.now + micros.Second
+	// Those that don't answer leave the turn to others.
+	v.showNext = c.now + micros.Second*micros.Micros(1+min(v.unanswered, 3))
 	m.session = max(m.session, 1)
 	c.sendOrder(s, m, []wire.Command{})
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -68,9 +68,12 @@
 	Booting float64 `msgpack:"o,omitempty"`
 	// All counts the share's machines on record, Silent and Doubt those in these
 	// states: the rows of Machines are bounded.
-	All    int    `msgpack:"l,omitempty"`
-	Silent int    `msgpack:"k,omitempty"`
-	Doubt  int    `msgpack:"q,omitempty"`
+	All    int `msgpack:"l,omitempty"`
+	Silent int `msgpack:"k,omitempty"`
+	Doubt  int `msgpack:"q,omitempty"`
+	// HeldUS is for how long machines in doubt will hold up older jobs yet, if
+	// nothing is heard of them.
+	HeldUS int64  `msgpack:"h,omitempty"`
 	Zones  []Zone `msgpack:"z,omitempty"`
 	// RunLeftUS is the work left in running tasks, in CPU microseconds.
 	RunLeftUS int64 `msgpack:"w"`
