A new owner is told what was returned before its claim

The leader tells it as long as it names them as silent or in doubt (TestReturnedIsToldAgain fails without).

--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -355,3 +355,33 @@
 		}
 	}
 }
+
+// A new owner does not know what was returned before its claim: it is told as
+// long as it names the machine as silent or in doubt. (A share was held up for 12 s
+// by three machines that had long been returned.)
+func TestReturnedIsToldAgain(t *testing.T) {
+	h := newHarness(t, func(c *Config) {
+		c.Shares = 2
+		c.Peers = []string{"n-1"}
+		c.MaxMachines = 100
+		c.SilentReturn = -1
+		c.Teams = []Team{{Name: "t", CPUs: 8}, {Name: "u", CPUs: 4}}
+	})
+	h.run(8 * sec)
+	h.put(ownerKey(1), wire.OwnerRecord{Label: "n-1", Incarnation: 77})
+	h.put(wire.BatchKey(1, "l-1-1"), wire.BatchRecord{Kinds: []wire.MachineKind{{Type: "m", Zone: "a"}}, Machines: []wire.BatchMachine{{ID: "vm-1", Addr: "vm-1"}}})
+	if !h.c.leading() {
+		t.Fatal("does not lead")
+	}
+	h.c.fleet.returned["vm-1"] = h.now
+	for _, state := range []int{peer.MachineDoubt, peer.MachineSilent} {
+		p := h.c.peers["n-1"]
+		p.gone = nil
+		d := &peer.Demand{Share: 1, All: 1, Machines: []peer.Machine{{ID: "vm-1", State: state}}}
+		h.c.replaceBad(map[int]*peer.Demand{1: d})
+		h.c.replaceBad(map[int]*peer.Demand{1: d})
+		if len(p.gone) != 1 || p.gone[0] != "vm-1" {
+			t.Errorf("state %d: the new owner is told of %v", state, p.gone)
+		}
+	}
+}
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -341,6 +341,15 @@
 			if rec == nil {
 				continue
 			}
+			if c.fleet.returned[m.ID] != 0 {
+				if m.State == peer.MachineDoubt || m.State == peer.MachineSilent {
+					c.tellReturned(m.ID) // its owner may have changed since it was told
+				}
+				continue
+			}
+			if c.fleet.returning[m.ID] {
+				continue
+			}
 			since, limit := micros.Micros(m.SinceUS), c.silentReturn()
 			if dark[rec.rec.Zone] {
 				// One by one they look dead. What a return gains is what is left of their
