--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -311,3 +311,77 @@
 		}
 	}
 }
+
+// Machines that can't be reached hold up a takeover: they are returned if what
+// stands still meanwhile is worth more than they are, and not if it is rather the
+// owner that can't reach them.
+func TestDoubtReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		doubt int // of 100 machines with 4 CPUs
+		held  micros.Micros
+		busy  float64
+		wait  int
+		since micros.Micros // for those asked twice
+		dark  bool
+		want  bool
+	}{
+		{"one of many", 1, 40 * sec, 300, 1000, 6 * sec, false, true},
+		{"a fifth, for long", 20, 40 * sec, 200, 1000, 6 * sec, false, true},
+		{"a fifth, for a moment only", 20, 5 * sec, 200, 1000, 6 * sec, false, false},
+		{"nothing waits", 20, 40 * sec, 200, 0, 6 * sec, false, false},
+		{"not asked twice yet", 20, 40 * sec, 200, 1000, 0, false, false},
+		{"most of them: rather the owner's network", 60, 60 * sec, 0, 1000, 6 * sec, false, false},
+		{"most of them, in a zone that is cut off", 60, 60 * sec, 0, 10000, 6 * sec, true, true},
+	} {
+		c := New(Config{Label: "a", Shares: 1, Teams: []Team{{Name: "t"}}, StateRPS: 10, WriteRPS: 10, CloudRPS: 10,
+			ReportEvery: 10 * sec, WorkerLease: 45 * sec, SilentReturn: -1}, 1)
+		c.types = map[string]wire.MachineType{"m": {Name: "m", CPUs: 4, BootS: 5}}
+		d := &peer.Demand{All: 100, Doubt: tc.doubt, HeldUS: int64(tc.held), CPUs: float64(4 * (100 - tc.doubt)), Busy: tc.busy,
+			RunLeftUS: int64(tc.busy * 20e6), Groups: []peer.Group{{Any: true, CPUs: 1, Waiting: tc.wait}},
+			Zones: []peer.Zone{{Name: "a", All: tc.doubt}, {Name: "b", All: 100 - tc.doubt}}}
+		if tc.dark {
+			d.Zones[0].Silent = tc.doubt
+		}
+		for i := range tc.doubt {
+			id := machineName(i)
+			c.mach[id] = &machine{id: id, rec: machineRecord{Zone: "a", Type: "m"}}
+			d.Machines = append(d.Machines, peer.Machine{ID: id, State: peer.MachineDoubt, SinceUS: int64(tc.since)})
+		}
+		c.fleet.budget.level = 10
+		c.replaceBad(map[int]*peer.Demand{0: d})
+		if got := len(c.fleet.returning) == tc.doubt; got != tc.want || !tc.want && len(c.fleet.returning) > 0 {
+			t.Errorf("%s: %d returned, want it: %v", tc.name, len(c.fleet.returning), tc.want)
+		}
+	}
+}
+
+// A new owner does not know what was returned before its claim: it is told as
+// long as it names the machine as silent or in doubt. (A share was held up for 12 s
+// by three machines that had long been returned.)
+func TestReturnedIsToldAgain(t *testing.T) {
+	h := newHarness(t, func(c *Config) {
+		c.Shares = 2
+		c.Peers = []string{"n-1"}
+		c.MaxMachines = 100
+		c.SilentReturn = -1
+		c.Teams = []Team{{Name: "t", CPUs: 8}, {Name: "u", CPUs: 4}}
+	})
+	h.run(8 * sec)
+	h.put(ownerKey(1), wire.OwnerRecord{Label: "n-1", Incarnation: 77})
+	h.put(wire.BatchKey(1, "l-1-1"), wire.BatchRecord{Kinds: []wire.MachineKind{{Type: "m", Zone: "a"}}, Machines: []wire.BatchMachine{{ID: "vm-1", Addr: "vm-1"}}})
+	if !h.c.leading() {
+		t.Fatal("does not lead")
+	}
+	h.c.fleet.returned["vm-1"] = h.now
+	for _, state := range []int{peer.MachineDoubt, peer.MachineSilent} {
+		p := h.c.peers["n-1"]
+		p.gone = nil
+		d := &peer.Demand{Share: 1, All: 1, Machines: []peer.Machine{{ID: "vm-1", State: state}}}
+		h.c.replaceBad(map[int]*peer.Demand{1: d})
+		h.c.replaceBad(map[int]*peer.Demand{1: d})
+		if len(p.gone) != 1 || p.gone[0] != "vm-1" {
+			t.Errorf("state %d: the new owner is told of %v", state, p.gone)
+		}
+	}
+}
