--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -87,7 +87,7 @@
 		MaxBody:  []int{maxBody, maxPeer},
 		MaxHeld:  sz.Held,
 		Half:     10 * time.Second,
-		Idle:     75 * time.Second,
+		Idle:     sz.Idle,
 		Log:      log,
 		Now:      time.Now,
 		Handler:  rt.handle,
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"garnethitch/internal/config"
 	"garnethitch/internal/micros"
@@ -62,6 +63,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var set config.Settings
 			set.Cluster.Resources = config.Resources{Sockets: tc.sockets, RAMMB: tc.ramMB}
+			set.Cluster.Workers.ReportS = 10
 			sz := SizesOf(set)
 			if need := tc.machines*3/2 + users; tc.machines > 0 && sz.Serve < need {
 				t.Errorf("serves %d connections, needs %d", sz.Serve, need)
@@ -69,6 +71,9 @@
 			if all := server.Sockets(sz.Serve) + sz.Services + sz.Workers; all >= tc.sockets {
 				t.Errorf("%d sockets planned of %d", all, tc.sockets)
 			}
+			if sz.Idle < 13*time.Second+4*time.Second || sz.Idle > 75*time.Second {
+				t.Errorf("connections without a request end after %v", sz.Idle)
+			}
 			if sz.Asks > sz.Workers || sz.Serve < 1 || sz.Services < 16 {
 				t.Errorf("no room for calls: %+v", sz)
 			}
--- a/internal/runtime/sizes.go
+++ b/internal/runtime/sizes.go
@@ -1,7 +1,10 @@
 package runtime
 
 import (
+	"time"
+
 	"garnethitch/internal/config"
+	"garnethitch/internal/micros"
 	"garnethitch/internal/server"
 )
 
@@ -17,6 +20,10 @@
 	// its own. A larger one leads to a fresh listing. Held bounds unparsed input.
 	StateBody int
 	Held      int64
+	// Idle is how long a connection may be without a request. Workers report and
+	// users ask more often than that; what is left of those that a cut or a restart
+	// has parted from us must not take the places of those that come back.
+	Idle time.Duration
 }
 
 // reserved are sockets beside connections: listeners, poll sets, standard streams,
@@ -42,5 +49,6 @@
 	ram := int(res.RAMMB * (1 << 20))
 	sz.StateBody = min(max(ram/16, 2*page), 24<<20)
 	sz.Held = int64(max(ram/16, 2*page))
+	sz.Idle = min(max(micros.FromSeconds(3*set.Cluster.Workers.ReportS).Duration(), 20*time.Second), 75*time.Second)
 	return sz
 }
