--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,8 @@
 	SilentReturn micros.Micros // 0: never; below 0: derived from ReportEvery
 	DrainHorizon micros.Micros
 	IdleReturn   micros.Micros
+	// GuaranteeWithin is within which time work within a guarantee is wanted started; 0: nobody says.
+	GuaranteeWithin micros.Micros
 	// BeginWithin is the longest that a job should wait for its first start; 0: no limit.
 	BeginWithin micros.Micros
 	Quarantine  micros.Micros
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -27,6 +27,7 @@
 	turn     float64 // its place among others of its kind; see queue
 	place    int     // in its share's queue
 	late     bool    // it should have begun; see overdue
+	owed     bool    // within its guarantee, and has waited for half of what it should at most
 	within   bool    // it fits into its team's guarantee; see markGuaranteed
 }
 
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -183,12 +183,14 @@
 	}
 	for _, j := range s.queue {
 		j.late = c.overdue(j)
+		j.owed = j.within && c.cfg.GuaranteeWithin > 0 && c.waited(j) > c.cfg.GuaranteeWithin/2
 		work := float64(j.sub.Tasks-j.run.count) * j.sub.CPUs * c.runs.expect(j.sub).Seconds()
 		j.turn = float64(j.rec.AcceptedMS)/1000 + turnFactor*work/cpus
 	}
 	slices.SortFunc(s.queue, func(a, b *job) int {
 		return cmp.Or(
 			-cmp.Compare(b2i(a.late), b2i(b.late)),
+			-cmp.Compare(b2i(a.owed), b2i(b.owed)),
 			-cmp.Compare(a.priority, b.priority),
 			-cmp.Compare(b2i(a.within), b2i(b.within)),
 			cmp.Compare(a.turn, b.turn),
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strings"
 	"testing"
 
 	"garnethitch/internal/micros"
@@ -433,11 +434,14 @@
 		{"a large one ages", []jb{{"1", "standard", 4, 0}, {"2", "standard", 40, 800 * sec}}, "21"},
 		{"equals by age", []jb{{"1", "standard", 4, 0}, {"2", "standard", 4, sec}}, "21"},
 		{"within the guarantee first", []jb{{"1", "standard", 30, 2 * sec}, {"2", "standard", 12, sec}}, "12"},
+		{"guaranteed, and half of its time is over", []jb{{"1", "high", 30, 0}, {"2", "best_effort", 12, 60 * sec}}, "21"},
+		{"guaranteed, with time left", []jb{{"1", "high", 30, 0}, {"2", "best_effort", 12, 40 * sec}}, "12"},
+		{"beyond the guarantee, for long", []jb{{"1", "high", 3, 90 * sec}, {"2", "best_effort", 31, 60 * sec}}, "12"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := newHarness(t, func(c *Config) {
-				if tc.name == "within the guarantee first" {
-					c.Teams[0].CPUs = 30
+				if strings.Contains(tc.name, "guarantee") {
+					c.Teams[0].CPUs, c.GuaranteeWithin = 30, 100*sec
 				}
 			})
 			h.settle("vm-1")
@@ -448,6 +452,7 @@
 				h.c.learnJob(sub.ID, rec, h.rev+100)
 			}
 			got := ""
+			h.c.wall = 1000 * sec
 			for _, j := range h.c.queue(h.c.own.shares[0]) {
 				got += j.id[len(j.id)-1:]
 			}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -125,7 +125,12 @@
 	}
 	for _, o := range cl.Objectives {
 		switch {
-		case o.Class == "" || o.WithinS <= 0:
+		case o.WithinS <= 0:
+		case o.Kind == "guarantee":
+			if w := micros.FromSeconds(o.WithinS); cfg.GuaranteeWithin == 0 || w < cfg.GuaranteeWithin {
+				cfg.GuaranteeWithin = w
+			}
+		case o.Class == "":
 		case o.Kind == "wait":
 			strictest(cfg.Urgent, o)
 		case o.Kind == "finished":
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -18,6 +18,7 @@
 		{Kind: "wait", Class: "x", WithinS: 6}, {Kind: "wait", Class: "x", WithinS: 25},
 		{Kind: "finished", Class: "x", WithinS: 400}, {Kind: "finished", Class: "x", WithinS: 250},
 		{Kind: "deadline", Class: "y"}, {Kind: "submit", WithinS: 1},
+		{Kind: "guarantee", WithinS: 200}, {Kind: "guarantee", WithinS: 150},
 	}
 	for _, tc := range []struct {
 		sockets, asks int
@@ -35,6 +36,9 @@
 		if cfg.Asks != tc.asks || cfg.SilentReturn != tc.want {
 			t.Errorf("%d sockets: %d requests to workers, silent machines returned after %d", tc.sockets, cfg.Asks, cfg.SilentReturn)
 		}
+		if cfg.GuaranteeWithin != 150*micros.Second {
+			t.Errorf("work within a guarantee is wanted started within %v", cfg.GuaranteeWithin)
+		}
 		if len(cfg.Urgent) != 1 || cfg.Urgent["x"] != 6*micros.Second || len(cfg.Finished) != 1 || cfg.Finished["x"] != 250*micros.Second {
 			t.Errorf("aims %v %v", cfg.Urgent, cfg.Finished)
 		}
