--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -13,10 +13,11 @@
 // what it does. Large jobs of the lowest priority had begun after 280 to 370 s on
 // days on which a fleet was pressed to its end.
 
-// overdue: the job should have begun.
+// overdue: the job should have begun. One whose only start was stopped for others
+// is so again; one that fails everywhere has its own pace.
 func (c *Core) overdue(j *job) bool {
 	r := j.run
-	return c.cfg.BeginWithin > 0 && r != nil && r.firstRun == 0 && r.count == 0 && len(r.active) == 0 && c.waited(j) > c.cfg.BeginWithin
+	return c.cfg.BeginWithin > 0 && r != nil && r.probeAt == 0 && r.count == 0 && len(r.active) == 0 && c.waited(j) > c.cfg.BeginWithin
 }
 
 // waited is how long ago a job was accepted.
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -385,3 +385,27 @@
 		}
 	}
 }
+
+// Which jobs should have begun.
+func TestOverdue(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.BeginWithin = 30 * sec })
+	h.c.wall = 1000 * sec
+	for _, tc := range []struct {
+		name   string
+		waited micros.Micros
+		run    run
+		want   bool
+	}{
+		{"young", 20 * sec, run{}, false},
+		{"nothing started", 40 * sec, run{}, true},
+		{"its only start was stopped", 40 * sec, run{firstRun: sec}, true},
+		{"one is running", 40 * sec, run{active: map[int]*slot{0: {}}}, false},
+		{"one is done", 40 * sec, run{count: 1}, false},
+		{"it fails everywhere", 40 * sec, run{probeAt: sec}, false},
+	} {
+		j := &job{rec: wire.JobRecord{AcceptedMS: (h.c.wall - tc.waited).Millis()}, run: &tc.run}
+		if got := h.c.overdue(j); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
