Clean-up: one measure of room, one name of a link between controllers, less work nobody reads

The test whether a task fits stood in four forms (placing, stopping, keeping room, shapes) and is one now; so are the conditions for a job that should have begun, the taking of recorded tasks from a Version, and the link between two controllers in the simulation. The meter of steps does nothing unless debug is on; the debug line on unused CPUs comes once a second, not for each batch of machines that come up as well; what a takeover holds up is worked out once.

--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -16,8 +16,12 @@
 // overdue: the job should have begun. One whose only start was stopped for others
 // is so again; one that fails everywhere has its own pace.
 func (c *Core) overdue(j *job) bool {
-	r := j.run
-	return c.cfg.BeginWithin > 0 && r != nil && r.probeAt == 0 && r.count == 0 && len(r.active) == 0 && c.waited(j) > c.cfg.BeginWithin
+	return c.waitsLong(j) && j.run.probeAt == 0 && len(j.run.active) == 0
+}
+
+// waitsLong: none of a job's tasks is done by when it should have begun.
+func (c *Core) waitsLong(j *job) bool {
+	return c.cfg.BeginWithin > 0 && j.run != nil && j.run.count == 0 && c.waited(j) > c.cfg.BeginWithin
 }
 
 // waited is how long ago a job was accepted.
@@ -28,8 +32,7 @@
 // onlyStart: the attempt is all that an overdue job has got, and is not to be
 // stopped for another if that can be helped.
 func (c *Core) onlyStart(sl *slot) bool {
-	r := sl.job.run
-	return c.cfg.BeginWithin > 0 && sl.owned && r != nil && r.count == 0 && len(r.active) == 1 && c.waited(sl.job) > c.cfg.BeginWithin
+	return sl.owned && c.waitsLong(sl.job) && len(sl.job.run.active) == 1
 }
 
 // keptForStart is how long a machine's room is kept for an overdue job before
@@ -68,31 +71,26 @@
 // roomAfter is in how much time a machine's tasks will probably have left enough
 // room for one of a job's; Never if they can't.
 func (c *Core) roomAfter(j *job, m *machine) micros.Micros {
-	mt, v := c.types[m.rec.Type], m.v
-	cpus, gpus, mem := mt.CPUs-v.sum.cpus, mt.GPUs-v.sum.gpus, mt.MemGB-v.sum.mem
 	type end struct {
 		sl   *slot
 		left micros.Micros
 	}
 	var ends []end
-	for _, sl := range v.list {
+	for _, sl := range m.v.list {
 		if sl.job != nil && sl.state != slotExited {
 			ends = append(ends, end{sl, c.left(sl)})
 		}
 	}
 	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.sl.idx, b.sl.idx)) })
-	after := micros.Micros(0)
-	for _, e := range ends {
-		if cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB {
-			return after
+	after, room := micros.Micros(0), c.room(m)
+	for want := shapeOf(j.sub); !want.covers(room); {
+		if len(ends) == 0 {
+			return micros.Never
 		}
-		after = e.left
-		cpus, gpus, mem = cpus+e.sl.job.sub.CPUs, gpus+e.sl.job.sub.GPUs, mem+e.sl.job.sub.MemGB
-	}
-	if cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB {
-		return after
+		after, room = ends[0].left, room.plus(shapeOf(ends[0].sl.job.sub))
+		ends = ends[1:]
 	}
-	return micros.Never
+	return after
 }
 
 // left is how long an attempt will probably take yet.
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -25,12 +25,20 @@
 	for _, s := range c.own.shares {
 		if c.acting(s.id) != nil {
 			out = append(out, c.demandOf(s))
-			c.logRoom(s)
 		}
 	}
 	return out
 }
 
+// logRooms tells of every share of this node; its callers have their pace.
+func (c *Core) logRooms() {
+	for _, s := range c.own.shares {
+		if c.acting(s.id) != nil {
+			c.logRoom(s)
+		}
+	}
+}
+
 func (c *Core) demandOf(s *share) peer.Demand {
 	c.refresh(s)
 	d := peer.Demand{Share: s.id, ArrivalCPUs: s.arrivals.rate(c.now)}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -126,6 +126,7 @@
 	}
 	f.planNext = c.now + micros.Second
 	demand := c.allDemand()
+	c.logRooms()
 	if f.listedAt != 0 && len(c.types) > 0 {
 		c.homeListed(demand)
 	}
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -367,8 +367,8 @@
 				cost += c.types[rec.rec.Type].CPUs * (c.types[rec.rec.Type].BootS + rentDelay)
 			}
 		}
-		if len(doubt) > 0 && heldUp(d) > cost {
-			c.log(Info, "returning machines that hold up a takeover", "share", id, "machines", len(doubt), "cpu_s_held_up", heldUp(d), "cpu_s_to_replace", cost)
+		if held := heldUp(d); len(doubt) > 0 && held > cost {
+			c.log(Info, "returning machines that hold up a takeover", "share", id, "machines", len(doubt), "cpu_s_held_up", held, "cpu_s_to_replace", cost)
 			back = append(back, doubt...)
 		}
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -64,6 +64,7 @@
 	}
 	if c.own.leader.rec.Label == p.label {
 		st.Demand = c.demands()
+		c.logRooms()
 	}
 	sent := st.Owns
 	st.Gone = p.gone[:min(len(p.gone), maxGone)]
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -140,26 +140,24 @@
 
 // free is what a machine has left for a job: room that is kept for another job
 // does not count.
-func (c *Core) free(m *machine, j *job) (cpus, gpus, mem float64) {
-	mt, v := c.types[m.rec.Type], m.v
-	cpus, gpus, mem = mt.CPUs-v.sum.cpus, mt.GPUs-v.sum.gpus, mt.MemGB-v.sum.mem
+func (c *Core) free(m *machine, j *job) shape {
+	v, room := m.v, c.room(m)
 	if h := &v.hold; h.job != nil && h.job != j {
 		if c.now >= h.until || h.job.run == nil || h.job.pending() <= 0 {
 			v.hold = hold{}
-			return
+			return room
 		}
 		// What is being made free serves the hold first.
-		cpus -= max(h.cpus-v.sum.soonCPUs, 0)
-		gpus -= max(h.gpus-v.sum.soonGPUs, 0)
-		mem -= max(h.mem-v.sum.soonMem, 0)
+		room.cpus -= max(h.cpus-v.sum.soonCPUs, 0)
+		room.gpus -= max(h.gpus-v.sum.soonGPUs, 0)
+		room.mem -= max(h.mem-v.sum.soonMem, 0)
 	}
-	return
+	return room
 }
 
 // fits: one of a job's tasks finds room on a machine now.
 func (c *Core) fits(m *machine, j *job) bool {
-	cpus, gpus, mem := c.free(m, j)
-	return cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB && m.v.sum.tasks < maxTasksPerMachine
+	return shapeOf(j.sub).covers(c.free(m, j)) && m.v.sum.tasks < maxTasksPerMachine
 }
 
 // queue lists a share's unfinished jobs, the first to be served first.
@@ -258,13 +256,25 @@
 		(r.fresh || s.current && s.settled)
 }
 
-// shape is what placing a plain task depends on.
+// shape is what a task takes, all that placing a plain one depends on, or what a
+// machine has left.
 type shape struct{ cpus, gpus, mem float64 }
 
+func shapeOf(sub *wire.Submission) shape { return shape{sub.CPUs, sub.GPUs, sub.MemGB} }
+
+// covers: where there is room for b, there is for a.
 func (a shape) covers(b shape) bool {
 	return a.cpus <= b.cpus+eps && a.gpus <= b.gpus+eps && a.mem <= b.mem+eps
 }
 
+func (a shape) plus(b shape) shape { return shape{a.cpus + b.cpus, a.gpus + b.gpus, a.mem + b.mem} }
+
+// room is what a machine's attempts leave of it.
+func (c *Core) room(m *machine) shape {
+	mt, sum := c.types[m.rec.Type], &m.v.sum
+	return shape{mt.CPUs - sum.cpus, mt.GPUs - sum.gpus, mt.MemGB - sum.mem}
+}
+
 // placeShare assigns waiting tasks of one share.
 func (c *Core) placeShare(s *share) {
 	c.refresh(s)
@@ -322,7 +332,7 @@
 	if u.over(team, j.sub) {
 		return
 	}
-	want := shape{j.sub.CPUs, j.sub.GPUs, j.sub.MemGB}
+	want := shapeOf(j.sub)
 	plain := j.sub.Plain()
 	if plain && slices.ContainsFunc(*full, func(f shape) bool { return f.covers(want) }) {
 		c.makeRoom(s, j)
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -110,15 +110,12 @@
 // offer works out what a machine would lose for one more task of a job; nil if
 // nothing can be had there. What is held there already comes on top.
 func (c *Core) offer(j *job, m *machine) *offer {
-	v, mt := m.v, c.types[m.rec.Type]
+	v, room, want := m.v, c.room(m), shapeOf(j.sub)
 	held := hold{}
 	if v.hold.job == j && c.now < v.hold.until {
 		held = v.hold
 	}
-	cpus := mt.CPUs - v.sum.cpus + v.sum.soonCPUs - held.cpus
-	gpus := mt.GPUs - v.sum.gpus + v.sum.soonGPUs - held.gpus
-	mem := mt.MemGB - v.sum.mem + v.sum.soonMem - held.mem
-	enough := func() bool { return cpus+eps >= j.sub.CPUs && gpus+eps >= j.sub.GPUs && mem+eps >= j.sub.MemGB }
+	room = room.plus(shape{v.sum.soonCPUs, v.sum.soonGPUs, v.sum.soonMem}).plus(shape{-held.cpus, -held.gpus, -held.mem})
 	type victim struct {
 		sl   *slot
 		loss float64
@@ -127,7 +124,7 @@
 	if !v.images[j.sub.Image] {
 		o.cost = 3
 	}
-	if enough() {
+	if want.covers(room) {
 		return o // others are on their way out
 	}
 	var cands []victim
@@ -143,16 +140,14 @@
 		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.sl.key.job, b.sl.key.job), cmp.Compare(a.sl.idx, b.sl.idx))
 	})
 	for _, x := range cands {
-		if enough() {
+		if want.covers(room) {
 			break
 		}
 		o.set = append(o.set, x.sl)
 		o.cost += x.loss
-		cpus += x.sl.job.sub.CPUs
-		gpus += x.sl.job.sub.GPUs
-		mem += x.sl.job.sub.MemGB
+		room = room.plus(shapeOf(x.sl.job.sub))
 	}
-	if !enough() {
+	if !want.covers(room) {
 		return nil
 	}
 	return o
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -59,20 +59,20 @@
 	r.ready = true
 	if rec, ok := s.versions[j.id]; ok {
 		r.verMark = s.verMarks[j.id]
+		recorded := func(idx int) {
+			if r.done.set(idx) {
+				r.count++
+			}
+			r.saved.set(idx)
+		}
 		for i := 0; i+1 < len(rec.Ranges); i += 2 {
 			for idx := max(rec.Ranges[i], 0); idx <= rec.Ranges[i+1] && idx < j.sub.Tasks; idx++ {
-				if r.done.set(idx) {
-					r.count++
-				}
-				r.saved.set(idx)
+				recorded(idx)
 			}
 		}
 		for idx := range min(j.sub.Tasks, 64*len(rec.Set)) {
 			if bitset(rec.Set).has(idx) {
-				if r.done.set(idx) {
-					r.count++
-				}
-				r.saved.set(idx)
+				recorded(idx)
 			}
 		}
 		r.steps, r.re = rec.Steps, rec.Recoveries
--- a/internal/runtime/meter.go
+++ b/internal/runtime/meter.go
@@ -1,6 +1,7 @@
 package runtime
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -15,15 +16,23 @@
 // shows what to look at when answers come late.
 type meter struct {
 	since micros.Micros
-	count map[string]int
-	took  map[string]micros.Micros
+	kinds map[string]tally
+}
+
+// tally is how many inputs of a kind came, and how long they took.
+type tally struct {
+	count int
+	took  micros.Micros
 }
 
 const meterEvery = 10 * micros.Second
 
 func (m *meter) add(in core.Input, at, took micros.Micros, open func() int, log *slog.Logger) {
-	if m.count == nil {
-		m.since, m.count, m.took = at, map[string]int{}, map[string]micros.Micros{}
+	if !log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	if m.kinds == nil {
+		m.since, m.kinds = at, map[string]tally{}
 	}
 	kind := ""
 	switch in.(type) {
@@ -42,17 +51,16 @@
 	default:
 		kind = "other"
 	}
-	m.count[kind]++
-	m.took[kind] += took
+	t := m.kinds[kind]
+	m.kinds[kind] = tally{t.count + 1, t.took + took}
 	if at-m.since < meterEvery {
 		return
 	}
 	args := []any{"span_ms", (at - m.since).Millis(), "connections", open()}
-	for _, k := range slices.Sorted(maps.Keys(m.count)) {
-		args = append(args, k, fmt.Sprintf("%d in %d ms", m.count[k], m.took[k].Millis()))
+	for _, k := range slices.Sorted(maps.Keys(m.kinds)) {
+		args = append(args, k, fmt.Sprintf("%d in %d ms", m.kinds[k].count, m.kinds[k].took.Millis()))
 	}
 	log.Debug("steps", args...)
 	m.since = at
-	clear(m.count)
-	clear(m.took)
+	clear(m.kinds)
 }
--- a/internal/runtime/sizes.go
+++ b/internal/runtime/sizes.go
@@ -43,9 +43,7 @@
 		Asks:     min(max(res.Sockets/30, 8), 96),
 	}
 	sz.Workers = min(max(res.Sockets/16, 2*sz.Asks), 256)
-	sz.Serve = res.Sockets - sz.Services - sz.Workers - reserved
-	sz.Serve -= server.Sockets(sz.Serve) - sz.Serve
-	sz.Serve = max(sz.Serve, 1)
+	sz.Serve = max(res.Sockets-sz.Services-sz.Workers-reserved-server.Sockets(0), 1)
 	ram := int(res.RAMMB * (1 << 20))
 	sz.StateBody = min(max(ram/16, 2*page), 24<<20)
 	sz.Held = int64(max(ram/16, 2*page))
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -33,7 +33,7 @@
 		links = append(links, n.label+"-state", n.label+"-cloud", "user-"+n.label)
 		for _, o := range s.Nodes {
 			if o.zone() != zone {
-				links = append(links, n.link(core.Call{To: core.ToPeer, Addr: o.label}))
+				links = append(links, n.peerLink(o.label))
 			}
 		}
 	}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -477,15 +477,16 @@
 	case core.ToCloud:
 		return n.label + "-cloud"
 	case core.ToPeer:
-		a, b := n.label, call.Addr
-		if b < a {
-			a, b = b, a
-		}
-		return a + "-" + b
+		return n.peerLink(call.Addr)
 	}
 	return n.label + "-" + call.Addr
 }
 
+// peerLink is named alike from both ends.
+func (n *Node) peerLink(other string) string {
+	return min(n.label, other) + "-" + max(n.label, other)
+}
+
 // serve lets the called side answer.
 func (s *Sim) serve(call core.Call, reply func(core.Result)) {
 	switch call.To {
@@ -599,10 +600,8 @@
 	}
 	var peerLinks []string
 	for _, o := range s.Nodes {
-		if o.label < n.label {
-			peerLinks = append(peerLinks, o.label+"-"+n.label)
-		} else if o != n {
-			peerLinks = append(peerLinks, n.label+"-"+o.label)
+		if o != n {
+			peerLinks = append(peerLinks, n.peerLink(o.label))
 		}
 	}
 	what := s.rng.IntN(20)
