--- a/garnethitch_test.go
+++ b/garnethitch_test.go
@@ -13,7 +13,7 @@
 	"testing"
 )
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -23,7 +23,7 @@
 	return l.Addr().String()
 }
 
-func writeSettings(t *testing.T, serve, internal, elsewhere string) string {
+func writeSettings(t testing.TB, serve, internal, elsewhere string) string {
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf(`
 label = "n-0"
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"garnethitch/internal/micros"
@@ -149,3 +150,25 @@
 		})
 	}
 }
+
+// BenchmarkMemory tells what is held for each machine, waiting job and finished
+// job, in bytes.
+func BenchmarkMemory(b *testing.B) {
+	held := func(machines, jobs, finished int) float64 {
+		h := bigHarness(b, machines, jobs, 500)
+		for i := range finished {
+			h.c.jobs.addFinal(fmt.Sprintf("job-%06d", 500_000+i), finalJob{state: wire.StateDone, tasks: 1})
+		}
+		var ms runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&ms)
+		runtime.KeepAlive(h)
+		return float64(ms.HeapAlloc)
+	}
+	for range b.N {
+		base := held(200, 40, 0)
+		b.ReportMetric((held(1200, 40, 0)-base)/1000, "B/machine")
+		b.ReportMetric((held(200, 240, 0)-base)/200, "B/job")
+		b.ReportMetric((held(200, 40, 10_000)-base)/10_000, "B/finished-job")
+	}
+}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -103,8 +103,8 @@
 	return x
 }
 
-// New prepares a run.
-func New(p Plan) *Sim {
+// base makes the services and the settings of a run, with nobody to use them.
+func base(p Plan) *Sim {
 	s := &Sim{
 		plan: p, rng: rand.New(rand.NewPCG(p.Seed, 77)), now: sec,
 		workers: map[string]*Worker{}, cuts: map[string]cutMode{}, held: map[string][]func(){},
@@ -121,6 +121,12 @@
 		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, BeginWithin: 60 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
 		Urgent: map[string]micros.Micros{"rush": 3 * sec},
 	}
+	return s
+}
+
+// New prepares a run.
+func New(p Plan) *Sim {
+	s := base(p)
 	for i := range p.Nodes {
 		s.Nodes = append(s.Nodes, &Node{sim: s, id: i, label: fmt.Sprintf("node-%d", i), rate: s.rng.Int64N(501)})
 	}
--- /dev/null
+++ b/path_test.go
@@ -0,0 +1,152 @@
+package garnethitch
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"garnethitch/internal/standin"
+)
+
+// A test binary started with this variable is the world around a controller.
+const worldVar = "GARNETHITCH_WORLD"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(worldVar) != "" {
+		if err := standin.ServeWorld(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// world is the other process, which plays everybody but the controller.
+type world struct {
+	tb  testing.TB
+	in  io.WriteCloser
+	out *bufio.Reader
+}
+
+func (w *world) say(format string, args ...any) string {
+	w.tb.Helper()
+	fmt.Fprintf(w.in, format+"\n", args...)
+	line, err := w.out.ReadString('\n')
+	if line = strings.TrimSpace(line); err != nil || strings.HasPrefix(line, "failed") {
+		w.tb.Fatalf(format+": %s %v", append(args, line, err)...)
+	}
+	return line
+}
+
+// startWorld begins a world with machines that will report to serve.
+func startWorld(tb testing.TB, machines int, serve string) (*world, string) {
+	self, err := os.Executable()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), worldVar+"=1")
+	cmd.Stderr = os.Stderr
+	w := &world{tb: tb}
+	out, err := cmd.StdoutPipe()
+	if err == nil {
+		w.in, err = cmd.StdinPipe()
+	}
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		tb.Fatal(err)
+	}
+	w.out = bufio.NewReader(out)
+	tb.Cleanup(func() {
+		w.in.Close()
+		_ = cmd.Wait()
+	})
+	return w, strings.TrimPrefix(w.say("machines %d %s", machines, serve), "at ")
+}
+
+// startPath begins a controller in this process and a world in another, with
+// every machine on record and full of tasks.
+func startPath(tb testing.TB, machines int) *world {
+	serve, internal := freeAddr(tb), freeAddr(tb)
+	w, services := startWorld(tb, machines, serve)
+	path := writeSettings(tb, serve, internal, services)
+	// The service's limits are not what is measured.
+	text, err := os.ReadFile(path)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	text = []byte(strings.NewReplacer("\nrps = 150.0", "\nrps = 100000.0", "write_rps = 25.0", "write_rps = 100000.0").Replace(string(text)))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		tb.Fatal(err)
+	}
+	c, err := New(Config{SettingsPath: path})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	procs := runtime.GOMAXPROCS(0)
+	tb.Cleanup(func() { runtime.GOMAXPROCS(procs) })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	tb.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			tb.Error(err)
+		}
+	})
+	w.say("ready")
+	w.say("job 100000")
+	return w
+}
+
+// used is the processor time that this process has taken, and how often it has
+// read and written.
+func used(tb testing.TB) (cpu time.Duration, reads, writes int) {
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+		tb.Fatal(err)
+	}
+	text, err := os.ReadFile("/proc/self/io")
+	if err == nil {
+		for line := range strings.Lines(string(text)) {
+			_, _ = fmt.Sscanf(line, "syscr: %d", &reads)
+			_, _ = fmt.Sscanf(line, "syscw: %d", &writes)
+		}
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano()), reads, writes
+}
+
+// BenchmarkPath is the whole path of a request in a running controller, from the
+// socket to the socket: read processor time, allocations, reads and writes per
+// request, not the time that passes. docs/account.md says how to get the parts.
+func BenchmarkPath(b *testing.B) {
+	for _, load := range []string{"reports", "turns", "polls", "jobs"} {
+		b.Run(load, func(b *testing.B) {
+			w := startPath(b, 200)
+			w.say("reports 2000") // until all are on record and full
+			time.Sleep(2 * time.Second)
+			w.say("reports 2000")
+			b.ReportAllocs()
+			b.ResetTimer()
+			cpu, reads, writes := used(b)
+			w.say("%s %d", load, b.N)
+			cpu2, reads2, writes2 := used(b)
+			b.StopTimer()
+			n := float64(b.N)
+			b.ReportMetric(float64((cpu2-cpu).Nanoseconds())/1000/n, "cpu-us/op")
+			b.ReportMetric(float64(reads2-reads)/n, "reads/op")
+			b.ReportMetric(float64(writes2-writes)/n, "writes/op")
+		})
+	}
+}
