gnet in evio's place, one running thread: two system calls fewer an answer

Cause: the path around the core is the largest row of docs/account.md. evio takes two epoll_ctl and one epoll_wait for each answer; two running threads wake each other.

--- a/garnethitch.go
+++ b/garnethitch.go
@@ -60,8 +60,8 @@
 	// Memory is plenty and a fraction of a core is not: collect seldom. The limit
 	// above makes it collect more often when memory runs short.
 	debug.SetGCPercent(400)
-	// One thread waits in evio's poll; a second keeps timers and calls from
-	// waiting until the scheduler notices.
-	runtime.GOMAXPROCS(2)
+	// Only one thread runs at a time, on a fraction of a core: with two, each event
+	// wakes the other for nothing. docs/account.md has the counts.
+	runtime.GOMAXPROCS(1)
 	return c.rt.Run(ctx)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -1,6 +1,10 @@
-// Package server serves HTTP/1.1 on evio: it parses requests, hands them to a
+// Package server serves HTTP/1.1 on gnet: it parses requests, hands them to a
 // handler and writes the answers, which may come later and from any goroutine.
 // Connections, buffers and waiting times are bounded.
+//
+// gnet is the nearest kin of evio, which spends two calls of epoll_ctl and one of
+// epoll_wait on each answer: an answer given at once is written at once here.
+// docs/account.md has the counts.
 package server
 
 import (
@@ -9,12 +13,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"garnethitch/internal/http1"
-	"github.com/tidwall/evio"
+	"github.com/panjf2000/gnet/v2"
 )
 
 // Listener numbers the addresses that a server listens on.
@@ -63,6 +68,8 @@
 const (
 	maxHead  = 8 << 10
 	maxDrain = 1 << 20
+	// maxUnread bounds the answers that a client has asked for and does not read.
+	maxUnread = 256 << 10
 )
 
 // evictions is how many connections may be on their way out to make room for
@@ -74,26 +81,29 @@
 
 // Server is the running state.
 type Server struct {
-	cfg   Config
-	held  atomic.Int64
-	conns map[*conn]struct{} // used on the serving goroutine only
+	gnet.BuiltinEventEngine
+	cfg  Config
+	stop atomic.Bool
+	open atomic.Int64 // len(conns), for answers given elsewhere
+
+	mu    sync.Mutex // guards all that follows, and every conn
+	held  int64
+	conns map[*conn]struct{}
 	// loose are the connections that give way when there is no place left, the
-	// longest unused first: all that Keep was not called for. Serving goroutine only.
+	// longest unused first: all that Keep was not called for.
 	loose    *list.List
 	evicting int
-	open     atomic.Int64 // len(conns), for answers given elsewhere
-	stop     atomic.Bool
+	scratch  []byte // for answers given at once; they are copied where they can't be sent whole
+	index    map[string]Listener
 }
 
-// conn is one connection. Its fields are guarded by mu, since answers may come
-// from any goroutine.
+// conn is one connection, guarded by its server's lock.
 type conn struct {
-	mu       sync.Mutex
-	ev       evio.Conn
-	in       []byte
+	ev       gnet.Conn
+	in       []byte // an incomplete request
 	out      []byte
 	waiting  bool // a request is with the handler
-	inData   bool // the serving goroutine is in Data and will pick up out
+	inData   bool // the serving goroutine is in data and will pick up out
 	closing  bool // close once out is written
 	draining int  // bytes dropped since a request was refused for its size
 	refused  bool
@@ -101,8 +111,8 @@
 	started  time.Time // when the first byte of an incomplete request came
 	lastUsed time.Time
 	idx      Listener
-	place    *list.Element // in loose; nil: it is kept. Serving goroutine only
-	evicted  bool          // serving goroutine only
+	place    *list.Element // in loose; nil: it is kept
+	evicted  bool
 }
 
 // Reply answers one request.
@@ -116,14 +126,25 @@
 
 // New makes a server; Run starts it.
 func New(cfg Config) *Server {
-	return &Server{cfg: cfg, conns: map[*conn]struct{}{}, loose: list.New()}
+	s := &Server{cfg: cfg, conns: map[*conn]struct{}{}, loose: list.New(), index: map[string]Listener{}}
+	for i, a := range cfg.Addrs {
+		s.index[a] = Listener(i)
+	}
+	return s
 }
 
 // Keep says that the request's connection does not give way to others: its
-// client counts on it. It is to be called by the handler, before it returns.
+// client counts on it.
 func (r *Request) Keep() {
-	if c := r.reply.c; c.place != nil {
-		r.reply.s.loose.Remove(c.place)
+	s := r.reply.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unloose(r.reply.c)
+}
+
+func (s *Server) unloose(c *conn) {
+	if c.place != nil {
+		s.loose.Remove(c.place)
 		c.place = nil
 	}
 }
@@ -135,43 +156,46 @@
 func (s *Server) crowded() bool { return s.Open() > s.cfg.MaxConns*4/5 }
 
 // makeRoom asks the connection that has been unused for longest, of those that
-// give way, to close; false if there is none.
+// give way, to close; false if there is none. The lock is held.
 func (s *Server) makeRoom() bool {
 	if s.evicting >= evictions {
 		return false
 	}
 	for e := s.loose.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*conn)
-		c.mu.Lock()
-		free := !c.waiting
-		if free {
-			c.closing = true
-		}
-		c.mu.Unlock()
-		if !free {
+		if c.waiting {
 			continue // it waits for an answer
 		}
-		s.loose.Remove(e)
-		c.place, c.evicted = nil, true
+		s.unloose(c)
+		c.closing, c.evicted = true, true
 		s.evicting++
-		c.ev.Wake()
+		_ = c.ev.Wake(nil)
 		return true
 	}
 	return false
 }
 
-// Run serves until ctx ends. If evio's loop ends by itself (it does on any
-// error from accept), serving starts anew after a short pause.
+// Run serves until ctx ends. If gnet's loop ends by itself (it does on an error
+// from accept), serving starts anew after a short pause.
 func (s *Server) Run(ctx context.Context) error {
 	unregister := context.AfterFunc(ctx, func() { s.stop.Store(true) })
 	defer unregister()
 	addrs := make([]string, len(s.cfg.Addrs))
 	for i, a := range s.cfg.Addrs {
-		addrs[i] = "tcp://" + a
+		addrs[i] = "tcp4://" + a
+		// gnet shares the address, so that one loop accepts and serves; a second
+		// process on it must fail all the same, not take half of the connections.
+		l, err := net.Listen("tcp4", a)
+		if err != nil {
+			return fmt.Errorf("serve: %w", err)
+		}
+		l.Close()
 	}
 	for failures := 0; ; {
 		began := s.cfg.Now()
-		err := evio.Serve(s.events(), addrs...)
+		s.reset()
+		err := gnet.Rotate(s, addrs, gnet.WithReusePort(true), gnet.WithNumEventLoop(1), gnet.WithTicker(true),
+			gnet.WithLogger(logger{s.cfg.Log}))
 		if s.stop.Load() {
 			return nil
 		}
@@ -191,64 +215,84 @@
 	}
 }
 
-func (s *Server) events() evio.Events {
+func (s *Server) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	clear(s.conns)
 	s.loose.Init()
-	s.evicting = 0
+	s.evicting, s.held = 0, 0
 	s.open.Store(0)
-	return evio.Events{
-		NumLoops: 1,
-		Opened: func(ec evio.Conn) ([]byte, evio.Options, evio.Action) {
-			// A full table would make accept fail, which ends evio's loop: stay below it.
-			if len(s.conns)-s.evicting >= s.cfg.MaxConns && !s.makeRoom() {
-				return nil, evio.Options{}, evio.Close
-			}
-			c := &conn{ev: ec, lastUsed: s.cfg.Now(), idx: Listener(ec.AddrIndex())}
-			c.place = s.loose.PushBack(c)
-			ec.SetContext(c)
-			s.conns[c] = struct{}{}
-			s.open.Store(int64(len(s.conns)))
-			return nil, evio.Options{ReuseInputBuffer: true}, evio.None
-		},
-		Closed: func(ec evio.Conn, _ error) evio.Action {
-			if c, ok := ec.Context().(*conn); ok {
-				c.mu.Lock()
-				c.closed = true
-				s.held.Add(-int64(len(c.in)))
-				c.in, c.out = nil, nil
-				c.mu.Unlock()
-				delete(s.conns, c)
-				s.open.Store(int64(len(s.conns)))
-				if c.place != nil {
-					s.loose.Remove(c.place)
-				}
-				if c.evicted {
-					s.evicting--
-				}
-			}
-			return evio.None
-		},
-		Data: func(ec evio.Conn, in []byte) ([]byte, evio.Action) {
-			c, ok := ec.Context().(*conn)
-			if !ok {
-				return nil, evio.Close
-			}
-			return s.data(c, in)
-		},
-		Tick: func() (time.Duration, evio.Action) {
-			if s.stop.Load() {
-				return 0, evio.Shutdown
-			}
-			s.sweep()
-			return time.Second, evio.None
-		},
+}
+
+// OnOpen takes a connection.
+func (s *Server) OnOpen(ev gnet.Conn) ([]byte, gnet.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A full table would make accept fail, which ends gnet's loop: stay below it.
+	if len(s.conns)-s.evicting >= s.cfg.MaxConns && !s.makeRoom() {
+		return nil, gnet.Close
+	}
+	c := &conn{ev: ev, lastUsed: s.cfg.Now(), idx: s.index[ev.LocalAddr().String()]}
+	c.place = s.loose.PushBack(c)
+	ev.SetContext(c)
+	s.conns[c] = struct{}{}
+	s.open.Store(int64(len(s.conns)))
+	return nil, gnet.None
+}
+
+// OnClose lets a connection go.
+func (s *Server) OnClose(ev gnet.Conn, _ error) gnet.Action {
+	c, ok := ev.Context().(*conn)
+	if !ok {
+		return gnet.None
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.closed = true
+	s.held -= int64(len(c.in))
+	c.in, c.out = nil, nil
+	delete(s.conns, c)
+	s.open.Store(int64(len(s.conns)))
+	s.unloose(c)
+	if c.evicted {
+		s.evicting--
+	}
+	return gnet.None
+}
+
+// OnTraffic takes input, or is called with none after Wake.
+func (s *Server) OnTraffic(ev gnet.Conn) gnet.Action {
+	in, err := ev.Next(-1)
+	c, ok := ev.Context().(*conn)
+	if !ok || err != nil {
+		return gnet.Close
+	}
+	out, action := s.data(c, in)
+	if len(out) > 0 {
+		if _, err := ev.Write(out); err != nil {
+			return gnet.None // gnet has closed it
+		}
+		if ev.OutboundBuffered() > maxUnread {
+			return gnet.Close
+		}
 	}
+	return action
 }
 
-// data takes input, or is called with none after Wake.
-func (s *Server) data(c *conn, in []byte) ([]byte, evio.Action) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// OnTick looks at what time does to connections.
+func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	if s.stop.Load() {
+		return 0, gnet.Shutdown
+	}
+	s.sweep()
+	return time.Second, gnet.None
+}
+
+// data takes input and gives what is to be written now. What it gives is valid
+// until the next call; only the serving goroutine calls it.
+func (s *Server) data(c *conn, in []byte) ([]byte, gnet.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	if c.refused {
 		// Closing at once would reset the connection before the answer is read.
@@ -262,46 +306,75 @@
 		if c.place != nil {
 			s.loose.MoveToBack(c.place)
 		}
-		maxBody := s.cfg.MaxBody[c.idx]
-		if len(c.in) == 0 {
-			c.started = now
-		}
-		if len(c.in)+len(in) > maxBody+2*maxHead || s.held.Add(int64(len(in))) > s.cfg.MaxHeld {
-			if len(c.in)+len(in) <= maxBody+2*maxHead {
-				s.held.Add(-int64(len(in)))
-			}
-			c.closing = true
+	}
+	fresh := len(c.in) == 0 // then whole requests need not be copied
+	if fresh && len(in) > 0 {
+		c.started = now
+	}
+	if !fresh {
+		if !s.hold(c, in) {
 			return c.take()
 		}
-		c.in = append(c.in, in...)
+		in = c.in
+	}
+	if c.out == nil {
+		c.out = s.scratch[:0]
 	}
 	c.inData = true
-	for !c.waiting && !c.closing && !c.refused && len(c.in) > 0 {
-		if !s.next(c, now) {
+	used := 0
+	for !c.waiting && !c.closing && !c.refused && used < len(in) {
+		n := s.next(c, in[used:], now)
+		if n == 0 {
 			break
 		}
+		used += n
 	}
 	c.inData = false
+	if !c.closing && !c.refused && !c.closed {
+		switch {
+		case fresh && used < len(in):
+			s.hold(c, in[used:])
+		case !fresh && used > 0:
+			s.held -= int64(used)
+			c.in = append(c.in[:0], c.in[used:]...)
+			if len(c.in) == 0 {
+				c.in = nil
+			}
+		}
+	}
 	return c.take()
 }
 
-// take gives what is to be written now. The lock is held.
-func (c *conn) take() ([]byte, evio.Action) {
+// hold keeps input of an incomplete request, or of one that must wait for the
+// answer to the one before; past the bounds the connection ends.
+func (s *Server) hold(c *conn, in []byte) bool {
+	if len(c.in)+len(in) > s.cfg.MaxBody[c.idx]+2*maxHead || s.held+int64(len(in)) > s.cfg.MaxHeld {
+		c.closing = true
+		return false
+	}
+	s.held += int64(len(in))
+	c.in = append(c.in, in...)
+	return true
+}
+
+// take gives what is to be written now.
+func (c *conn) take() ([]byte, gnet.Action) {
 	out := c.out
 	c.out = nil
 	if c.closing && !c.waiting {
-		return out, evio.Close
+		return out, gnet.Close
 	}
-	return out, evio.None
+	return out, gnet.None
 }
 
-// next parses one request and hands it on; false when more input is needed.
-// The lock is held on entry and exit, but not while the handler runs.
-func (s *Server) next(c *conn, now time.Time) bool {
-	msg, n, err := http1.ParseRequest(c.in, http1.Limits{Head: maxHead, Body: s.cfg.MaxBody[c.idx]})
+// next parses one request and hands it on; it gives how many bytes that took, 0
+// when more input is needed. The lock is held on entry and exit, but not while
+// the handler runs.
+func (s *Server) next(c *conn, in []byte, now time.Time) int {
+	msg, n, err := http1.ParseRequest(in, http1.Limits{Head: maxHead, Body: s.cfg.MaxBody[c.idx]})
 	switch {
 	case errors.Is(err, http1.ErrShort):
-		return false
+		return 0
 	case err != nil:
 		status := 400
 		if errors.Is(err, http1.ErrBodyLarge) {
@@ -312,22 +385,17 @@
 		c.out = http1.AppendResponse(c.out, status, "", nil, 0, true)
 		c.refused = status == 413
 		c.closing = !c.refused
-		s.held.Add(-int64(len(c.in)))
+		s.held -= int64(len(c.in))
 		c.in, c.started = nil, now
-		return false
-	}
-	s.held.Add(-int64(n))
-	c.in = append(c.in[:0], c.in[n:]...)
-	if len(c.in) == 0 && cap(c.in) > 4096 {
-		c.in = nil
+		return 0
 	}
 	c.started = now
 	c.waiting = true
 	reply := &Reply{s: s, c: c, closeAfter: msg.Close}
-	c.mu.Unlock()
+	s.mu.Unlock()
 	s.cfg.Handler(Request{Listener: c.idx, Msg: msg, reply: reply})
-	c.mu.Lock()
-	return true
+	s.mu.Lock()
+	return n
 }
 
 // Send answers the request; later calls do nothing.
@@ -335,35 +403,46 @@
 	if r.done.Swap(true) {
 		return
 	}
-	c := r.c
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	s, c := r.s, r.c
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if c.closed {
 		return
 	}
-	closing := a.Close || r.closeAfter || a.Spare && r.s.crowded()
+	closing := a.Close || r.closeAfter || a.Spare && s.crowded()
 	c.out = http1.AppendResponse(c.out, a.Status, a.ContentType, a.Body, a.RetryAfterS, closing)
 	c.waiting = false
 	if closing {
 		c.closing = true
 	}
-	if !c.inData {
-		c.ev.Wake()
+	if c.inData {
+		s.scratch = c.out // which may have grown
+	} else {
+		_ = c.ev.Wake(nil)
 	}
 }
 
 // sweep closes connections that send nothing or only half a request.
 func (s *Server) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	for c := range s.conns {
-		c.mu.Lock()
 		half := len(c.in) > 0 && !c.waiting && now.Sub(c.started) > s.cfg.Half
 		idle := !c.waiting && now.Sub(c.lastUsed) > s.cfg.Idle
 		drained := c.refused && now.Sub(c.started) > 2*time.Second
 		if half || idle || drained {
 			c.closing = true
-			c.ev.Wake()
+			_ = c.ev.Wake(nil)
 		}
-		c.mu.Unlock()
 	}
 }
+
+// logger passes gnet's own lines on.
+type logger struct{ log *slog.Logger }
+
+func (l logger) Debugf(format string, args ...any) { l.log.Debug(fmt.Sprintf(format, args...)) }
+func (l logger) Infof(format string, args ...any)  { l.Debugf(format, args...) }
+func (l logger) Warnf(format string, args ...any)  { l.Debugf(format, args...) }
+func (l logger) Errorf(format string, args ...any) { l.log.Error(fmt.Sprintf(format, args...)) }
+func (l logger) Fatalf(format string, args ...any) { l.Errorf(format, args...) }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -94,6 +94,7 @@
 //	ready             waits until the controller says so
 //	job N             submits an array of N tasks
 //	reports N         N reports that say nothing new, over all machines in turn
+//	apart N           the same, one at a time with pauses
 //	turns N           N reports, each with a task's end
 //	polls N           N questions after the last job
 //	jobs N            N submissions of one task each
@@ -134,6 +135,13 @@
 			err = w.submit(&link{addr: w.serve}, n)
 		case "reports":
 			err = w.each(n, func(_ int, m *worldMachine) error { return m.report(false) })
+		case "apart":
+			for i := range n {
+				if err = w.machines[i%len(w.machines)].report(false); err != nil {
+					break
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
 		case "turns":
 			err = w.each(n, func(_ int, m *worldMachine) error { return m.report(true) })
 		case "polls":
--- a/path_test.go
+++ b/path_test.go
@@ -131,7 +131,7 @@
 // socket to the socket: read processor time, allocations, reads and writes per
 // request, not the time that passes. docs/account.md says how to get the parts.
 func BenchmarkPath(b *testing.B) {
-	for _, load := range []string{"reports", "turns", "polls", "jobs"} {
+	for _, load := range []string{"reports", "apart", "turns", "polls", "jobs"} {
 		b.Run(load, func(b *testing.B) {
 			w := startPath(b, 200)
 			w.say("reports 2000") // until all are on record and full
