--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -48,7 +48,9 @@
 	reach    reach
 
 	slots   map[slotKey]*slot
-	list    []*slot // the same, in the order in which they came up
+	list    []*slot           // the same, in the order in which they came up
+	shown   []wire.TaskReport // the list last taken in whole,
+	listed  uint64            // in this round of observe
 	sum     tally
 	stale   bool // sum is to be counted again
 	hold    hold
@@ -327,7 +329,42 @@
 		}
 		c.dirty = true
 	}
+	if !c.unchanged(v, rep) {
+		c.takeList(m, rep, checkin)
+	}
+	for _, sl := range v.list {
+		if sl.listed == v.listed && !sl.owned && !sl.acted {
+			c.adopt(m)
+			break
+		}
+	}
+	if v.busy() {
+		v.idleAt = c.now
+	}
+}
+
+// unchanged: a report lists just what the last one did, and nothing was sent to
+// the machine or forgotten here meanwhile, so that there is nothing to take from
+// it. Most reports are like that. Lists are compared by where they are held, see
+// wire.ReportReader.
+func (c *Core) unchanged(v *view, rep *wire.Report) bool {
+	n := len(rep.Tasks)
+	if n != len(v.list) || n != len(v.shown) || n > 0 && &rep.Tasks[0] != &v.shown[0] {
+		return false
+	}
+	for _, sl := range v.list {
+		if sl.listed != v.listed {
+			return false
+		}
+	}
+	return true
+}
+
+// takeList takes the tasks that a machine lists.
+func (c *Core) takeList(m *machine, rep *wire.Report, checkin bool) {
+	v := m.v
 	c.round++
+	v.shown, v.listed = rep.Tasks, c.round
 	for i := range rep.Tasks {
 		t := &rep.Tasks[i]
 		id, idx, err := wire.ParseTask(t.Task)
@@ -346,11 +383,9 @@
 		sl.listed = c.round
 		c.update(sl, t)
 	}
-	adopt := false
 	for _, sl := range v.each() {
 		c.looks++
 		if sl.listed == c.round {
-			adopt = adopt || !sl.owned && !sl.acted
 			continue
 		}
 		switch sl.state {
@@ -367,12 +402,6 @@
 			c.freeSlot(sl, true)
 		}
 	}
-	if adopt {
-		c.adopt(m)
-	}
-	if v.busy() {
-		v.idleAt = c.now
-	}
 }
 
 // update takes one task's state from a report.
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -43,10 +43,9 @@
 		if len(out) >= most {
 			return out
 		}
-		name := wire.TaskName(sl.key.job, sl.idx)
 		switch {
 		case sl.clearable():
-			out = append(out, wire.Command{Op: wire.OpForget, Task: name, Attempt: sl.key.attempt})
+			out = append(out, wire.Command{Op: wire.OpForget, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
 		case sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited:
 			grace := &zero
 			if sl.halt == haltSave && sl.job != nil {
@@ -57,7 +56,7 @@
 				continue
 			}
 			sl.haltAt = c.now
-			out = append(out, wire.Command{Op: wire.OpStop, Task: name, Attempt: sl.key.attempt, GraceS: grace})
+			out = append(out, wire.Command{Op: wire.OpStop, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, GraceS: grace})
 		}
 	}
 	for _, sl := range v.list {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -105,6 +105,43 @@
 	}
 }
 
+// TestQuietReport: a report that lists what the last one did costs a compare,
+// however many tasks it has; and one that lists less, or comes after something
+// was sent, is taken in whole.
+func TestQuietReport(t *testing.T) {
+	h := bigHarness(t, 50, 20, 500)
+	m := h.c.mach[machineName(7)]
+	v := m.v
+	var tasks []wire.TaskReport
+	for _, sl := range v.list {
+		tasks = append(tasks, wire.TaskReport{Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, State: wire.TaskRunning})
+	}
+	say := func(tasks []wire.TaskReport) uint64 {
+		h.c.lastHouse, h.c.dirty = h.now, false
+		before := h.c.looks
+		h.checkin(report(m.id, v.session, v.seq+1, v.token, tasks...))
+		return h.c.looks - before
+	}
+	say(tasks)
+	if n := say(tasks); n > 1 { // the first job that waits
+		t.Errorf("a report that says nothing new looks at %d attempts", n)
+	}
+	if n := testing.AllocsPerRun(50, func() { say(tasks) }); n > 12 {
+		t.Errorf("a report that says nothing new takes %.0f allocations", n)
+	}
+	gone := v.list[0]
+	h.c.dropSlot(gone)
+	say(tasks)
+	if v.slots[gone.key] == nil {
+		t.Error("an attempt that was forgotten here, and is still listed, was not taken in")
+	}
+	kept := len(v.list)
+	say(tasks[1:])
+	if v.slots[gone.key] != nil || len(v.list) == kept+1 {
+		t.Error("an attempt that is listed no more is still counted")
+	}
+}
+
 // TestWorkPerRound: a round over all machines looks at each of them a few
 // times, however many tasks wait.
 func TestWorkPerRound(t *testing.T) {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -49,7 +49,8 @@
 	timer       *time.Timer
 
 	srv     *server.Server
-	out     *client.Client // state, cloud and peers
+	reports *wire.ReportReader // used on the serving goroutine only
+	out     *client.Client     // state, cloud and peers
 	workers *client.Client
 	peers   map[string]string
 	ctx     context.Context
@@ -73,6 +74,7 @@
 		rt.peers[s.Label] = s.Address
 	}
 	sz := SizesOf(set)
+	rt.reports = wire.NewReportReader(sz.Lists)
 	outbound := client.Config{
 		MaxIdle: 8, MaxConns: sz.Services, MaxBody: sz.StateBody,
 		IdleTimeout: 20 * time.Second, DialTimeout: 700 * time.Millisecond,
@@ -294,7 +296,7 @@
 		// Users find another node at once; a worker that is turned away from one after
 		// the other loses its lease.
 		req.Keep()
-		rep, err := wire.ParseReport(msg.Body)
+		rep, err := rt.reports.Parse(msg.Body)
 		if err != nil {
 			rt.log.Debug("report not readable", "error", err)
 			r.Send(server.Answer{Status: 400})
--- a/internal/runtime/sizes.go
+++ b/internal/runtime/sizes.go
@@ -20,6 +20,8 @@
 	// its own. A larger one leads to a fresh listing. Held bounds unparsed input.
 	StateBody int
 	Held      int64
+	// Lists bounds the workers' task lists that are remembered, in bytes.
+	Lists int
 	// Idle is how long a connection may be without a request. Workers report and
 	// users ask more often than that; what is left of those that a cut or a restart
 	// has parted from us must not take the places of those that come back.
@@ -47,6 +49,7 @@
 	ram := int(res.RAMMB * (1 << 20))
 	sz.StateBody = min(max(ram/16, 2*page), 24<<20)
 	sz.Held = int64(max(ram/16, 2*page))
+	sz.Lists = ram / 32
 	sz.Idle = min(max(micros.FromSeconds(3*set.Cluster.Workers.ReportS).Duration(), 20*time.Second), 75*time.Second)
 	return sz
 }
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -14,6 +14,7 @@
 
 	"garnethitch/internal/core"
 	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
 )
 
 const (
@@ -359,6 +360,8 @@
 	answer map[core.ReplyID]func(core.Answer)
 	wake   micros.Micros
 	recent []core.Call
+	// reports decodes what workers say, as a real controller does.
+	reports *wire.ReportReader
 	// frozenUntil: until then the process stands still, and what comes in waits.
 	frozenUntil micros.Micros
 	waiting     []core.Input
@@ -377,6 +380,7 @@
 	}
 	n.life++
 	n.frozenUntil, n.waiting = 0, nil
+	n.reports = wire.NewReportReader(1 << 20)
 	n.core = core.New(cfg, n.sim.rng.Uint64())
 	n.answer = map[core.ReplyID]func(core.Answer){}
 	n.wake = micros.Never
@@ -448,6 +452,24 @@
 	n.step(make(n.nextID))
 }
 
+// checkin gives the node a worker's report, encoded and decoded as on the wire.
+func (n *Node) checkin(rep *wire.Report, f func(core.Answer)) {
+	if n.core == nil {
+		return
+	}
+	body, err := wire.Encode(rep)
+	if err != nil {
+		n.sim.broken("report: %v", err)
+		return
+	}
+	got, err := n.reports.Parse(body)
+	if err != nil {
+		n.sim.broken("report: %v", err)
+		return
+	}
+	n.ask(func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: got} }, f)
+}
+
 func (n *Node) call(call core.Call) {
 	life := n.life
 	n.recent = append(n.recent, call)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -196,7 +196,7 @@
 	w.copyLater(rep)
 	exchange(s, n.label+"-"+w.id, 4*sec,
 		func(reply func(core.Answer)) {
-			n.ask(func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: *rep} }, func(a core.Answer) {
+			n.checkin(rep, func(a core.Answer) {
 				if s.now >= w.deafUntil {
 					reply(a)
 				}
@@ -229,7 +229,7 @@
 	n := s.Nodes[s.rng.IntN(len(s.Nodes))]
 	s.Copies++
 	s.after(d, func() {
-		n.ask(func(id core.ReplyID) core.Input { return core.Checkin{Reply: id, Report: *rep} }, func(core.Answer) {})
+		n.checkin(rep, func(core.Answer) {})
 	})
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -252,8 +252,11 @@
 // carries out what the answer says.
 func (m *worldMachine) report(end bool) error {
 	m.mu.Lock()
-	if end && len(m.tasks) > 0 && m.tasks[0].State == wire.TaskRunning {
-		m.tasks[0].State, m.tasks[0].Why = wire.TaskExited, wire.WhyDone
+	for i := range m.tasks {
+		if end && m.tasks[i].State == wire.TaskRunning {
+			m.tasks[i].State, m.tasks[i].Why = wire.TaskExited, wire.WhyDone
+			break
+		}
 	}
 	body, err := wire.Encode(m.shown())
 	m.mu.Unlock()
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -217,28 +217,3 @@
 	}
 	return job, index, nil
 }
-
-// ParseReport decodes and checks a worker's report.
-func ParseReport(body []byte) (Report, error) {
-	var r Report
-	if err := Decode(body, &r); err != nil {
-		return r, err
-	}
-	if r.Machine == "" || len(r.Machine) > 150 || strings.ContainsAny(r.Machine, " \t\r\n") || r.Session == 0 {
-		return r, fmt.Errorf("wire: report without a usable machine or session")
-	}
-	if r.NoticeS != nil && (math.IsNaN(*r.NoticeS) || math.IsInf(*r.NoticeS, 0)) {
-		r.NoticeS = nil
-	}
-	for _, t := range r.Tasks {
-		if _, _, err := ParseTask(t.Task); err != nil {
-			return r, err
-		}
-		switch t.State {
-		case TaskFetching, TaskRunning, TaskSaving, TaskExited:
-		default:
-			return r, fmt.Errorf("wire: task state %q", t.State)
-		}
-	}
-	return r, nil
-}
