Fewer wake-ups: time alone, Versions and watches less often in calm

Cause: what is charged follows the turns of a process, some 75 us each (docs/account.md, What is charged); ten looks a second are the largest row after the reports.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -287,7 +287,7 @@
 	if c.now-c.lastHouse > tooLate {
 		c.behindAt = c.now
 	}
-	c.wake = c.lastHouse + housekeeping
+	c.wake = c.houseAt()
 	c.rest(at.Took)
 	switch v := in.(type) {
 	case Tick:
@@ -309,11 +309,15 @@
 			done(v)
 		}
 	}
-	if c.now-c.lastHouse >= housekeeping {
+	if c.now >= c.houseAt() {
 		c.lastHouse = c.now
-		c.wake = c.now + housekeeping
+		c.wake = c.now + c.pace()
 		c.house()
+	} else {
+		c.follow(&c.own.ctl)
+		c.follow(&c.own.job)
 	}
+	c.wake = min(c.wake, c.houseAt())
 	c.runDeferred()
 	c.place()
 	c.runDeferred()
@@ -324,8 +328,36 @@
 	return out
 }
 
-// housekeeping is how often time alone is looked at.
-const housekeeping = 100 * micros.Millisecond
+// Time alone is looked at often while a share has no owner or waits for machines
+// to settle, and less often else: each look wakes the process, and what a wake-up
+// costs is most of what a controller takes (docs/account.md).
+const (
+	housekeeping = 100 * micros.Millisecond
+	calmPace     = 300 * micros.Millisecond
+)
+
+// houseAt is when house looks next.
+func (c *Core) houseAt() micros.Micros {
+	at := c.lastHouse + c.pace()
+	if f := &c.fleet; len(f.callers) > 0 {
+		at = min(at, max(f.callNext, c.lastHouse+housekeeping))
+	}
+	return at
+}
+
+// pace is how often house looks.
+func (c *Core) pace() micros.Micros {
+	o := &c.own
+	if o.lease == 0 || !o.ctl.ready || !o.job.ready || o.leader.mark == 0 || len(c.types) == 0 {
+		return housekeeping
+	}
+	for _, s := range o.shares {
+		if s.mark == 0 || s.active && !(s.settled && s.current && s.loaded) {
+			return housekeeping
+		}
+	}
+	return calmPace
+}
 
 // On a share of a core that does not suffice, work on everything must leave most
 // of the time to what can't wait: our own lease, reports, answers. So a round, or
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -10,7 +10,6 @@
 const (
 	maxSteps      = 16
 	maxRecoveries = 8
-	versionEvery  = 2 * micros.Second
 )
 
 // loadVersions reads all Versions after a claim: from then on only this owner
@@ -128,11 +127,16 @@
 	return rec, covered
 }
 
+// versionEvery is the least time between two Versions of a job. A machine goes on
+// listing a task's end until it is in a Version, so that one report more or less
+// loses nothing.
+func (c *Core) versionEvery() micros.Micros { return max(2*micros.Second, c.cfg.ReportEvery) }
+
 // versionPace spaces a job's Versions so that all of a share's jobs together
 // leave most of the writes to what users wait for.
 func (c *Core) versionPace(s *share) micros.Micros {
 	jobs := len(c.queue(s))
-	return max(versionEvery, micros.FromSeconds(float64(jobs)/(c.stateq.writes.rate/2)))
+	return max(c.versionEvery(), micros.FromSeconds(float64(jobs)/(c.stateq.writes.rate/2)))
 }
 
 // recordVersion writes a job's newest Version.
@@ -162,7 +166,7 @@
 			return
 		}
 		r.verDirty = true
-		r.verNext = c.now + c.jitter(versionEvery)
+		r.verNext = c.now + c.jitter(2*micros.Second)
 		if res.NotSent || res.Status == 503 || res.Status == 429 {
 			r.verBusy = false
 			return
