A node's own slowness is no sign against others; the simulation plays slow controllers

Cause: silence, a peer's absence and run times were measured from the last message read, also by a node that had not come to read. All of them now count from when it was last short of time; the check that only the deafness verdict had goes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -238,7 +238,9 @@
 	dirty    bool // placement has something to look at
 	schedAt  micros.Micros
 	walkAt   micros.Micros // when house looks at all machines and jobs again
-	behindAt micros.Micros // when this node was last behind; see behind
+	// behindAt is when this node was last short of time. What it has not heard up to
+	// then says nothing about others.
+	behindAt micros.Micros
 	// placed and walked: the step before ran a round, or looked at everything.
 	placed, walked bool
 }
@@ -374,10 +376,6 @@
 // this node had no time, or stood still.
 const tooLate = micros.Second
 
-// behind: this node was short of time within a span, so that what it has not
-// heard says nothing about others.
-func (c *Core) behind(span micros.Micros) bool { return c.now-c.behindAt < span }
-
 // rest puts the next round and walk off by what the step before took.
 func (c *Core) rest(took micros.Micros) {
 	until := c.now + min(restFactor*took, mostRest)
--- a/internal/core/ears.go
+++ b/internal/core/ears.go
@@ -30,9 +30,6 @@
 		c.probe()
 		return
 	}
-	if c.behind(c.silence()) {
-		return // it may just not have come to read what they sent
-	}
 	silent, elsewhere, all := 0, 0, 0
 	for _, s := range c.own.shares {
 		if c.acting(s.id) == nil {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -596,7 +596,7 @@
 	c.dirty = true
 	switch sl.why {
 	case wire.WhyDone:
-		if sl.runAt > 0 {
+		if sl.runAt > max(c.behindAt, 0) { // else its end may have been seen late, for lack of time here
 			took := c.now - sl.runAt
 			c.noteSpeed(m, j, took)
 			c.runs.learn(j.sub, took)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -27,7 +27,10 @@
 const maxGone = 500
 
 // alive: it was heard of within the last few statuses.
-func (c *Core) alive(p *peerView) bool { return c.now-p.heardAt < 5*statusEvery/2 }
+// Where this node itself was short of time, that is no sign against others.
+func (c *Core) alive(p *peerView) bool {
+	return p.heardAt > -micros.Never && c.now-max(p.heardAt, c.behindAt) < 5*statusEvery/2
+}
 
 // stateFresh: the state service answered this node of late.
 func (c *Core) stateFresh() bool { return c.now-c.own.contact < 5*micros.Second/2 }
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -102,8 +102,9 @@
 	return c.late() + 2*micros.Second
 }
 
-// unheard is for how long a machine has not been heard.
-func (c *Core) unheard(v *view) micros.Micros { return c.now - max(v.heard, v.since) }
+// unheard is for how long a machine has not been heard, by a node that had the
+// time to listen: what it said while this node was behind may still be unread.
+func (c *Core) unheard(v *view) micros.Micros { return c.now - max(v.heard, v.since, c.behindAt) }
 
 // silentReturn is how long a machine may be silent before it is returned; 0: it
 // never is. By default it leaves time for an overdue report and for trying the
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -576,3 +576,63 @@
 		}
 	}
 }
+
+// TestOwnSlowness: a node that was short of time takes nothing that it has not
+// heard for silence, and nothing that it saw late for slowness; one that had the
+// time does.
+func TestOwnSlowness(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		gap    micros.Micros // between its steps
+		silent bool
+		alive  bool
+		learns bool
+	}{
+		{"in time", 20 * ms, true, false, true},
+		{"ten times too slow", 2 * sec, false, true, false},
+		{"stood still", 20 * sec, false, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"} })
+			h.run(5 * sec)
+			token := h.settle("vm-1")
+			h.submit(jobOf("job-000001", 1))
+			_, body := h.checkin(report("vm-1", 1, 4, token))
+			h.dropCalls()
+			run := shown(starts(body.Commands), wire.TaskRunning)
+			if len(run) == 0 {
+				_, body = h.checkin(report("vm-1", 1, 5, token))
+				run = shown(starts(body.Commands), wire.TaskRunning)
+			}
+			h.checkin(report("vm-1", 1, 6, token, run...))
+			h.peersDown = true
+			p, v := h.c.peers["n-1"], h.c.mach["vm-1"].v
+			p.heardAt = h.now
+			v.reach = reach{}
+			began := h.now
+			pass := func(until micros.Micros) {
+				for h.now < began+until {
+					h.now += tc.gap
+					h.step(Tick{})
+				}
+			}
+			pass(5 * sec)
+			for _, sl := range v.each() {
+				if sl.owned && sl.state == slotRunning {
+					sl.state, sl.why = slotExited, wire.WhyDone
+					h.c.exited(sl)
+				}
+			}
+			if got := len(h.c.runs.byClass) > 0; got != tc.learns {
+				t.Errorf("the run time is believed: %v, want %v", got, tc.learns)
+			}
+			pass(20 * sec)
+			if got := h.c.unheard(v) > h.c.silence(); got != tc.silent {
+				t.Errorf("the machine counts as silent: %v, want %v", got, tc.silent)
+			}
+			if got := h.c.alive(p); got != tc.alive {
+				t.Errorf("the peer counts as alive: %v, want %v", got, tc.alive)
+			}
+		})
+	}
+}
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -329,6 +329,10 @@
 	case core.ReturnMachines:
 		for _, id := range r.Machines {
 			if w := c.sim.workers[id]; w != nil {
+				if !c.sim.plan.Faults && !c.sim.plan.Fleet && !w.dead && c.sim.atWork(w) {
+					c.sim.Wasted++
+					c.sim.trace("%s returned with work on it", id)
+				}
 				w.dead, w.returned = true, true
 			}
 		}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -35,6 +35,9 @@
 	Faults bool
 	// Fleet adds troubles that hit many machines or all controllers at a time.
 	Fleet bool
+	// Slow is how long a step takes, for a while, on one controller and then on all:
+	// it is short of time, and what comes in waits in line.
+	Slow micros.Micros
 	// Length is how long faults and submissions go on; after that all is well
 	// and every job must come to its end within Rest.
 	Length, Rest micros.Micros
@@ -68,6 +71,10 @@
 	Copies, Deaf int
 	// ZoneCuts, Died, Hung and Frozen count what hits many at a time.
 	ZoneCuts, Died, Hung, Frozen int
+	// Waited is the longest that an input had to wait for a slow controller; Wasted
+	// counts machines returned with work on them although nothing was wrong.
+	Waited micros.Micros
+	Wasted int
 	// Trace, if set, hears what happens.
 	Trace func(string)
 	// copiesUntil: until then many reports are copied.
@@ -154,6 +161,9 @@
 	if p.Fleet {
 		s.scheduleFleetFaults()
 	}
+	if p.Slow > 0 {
+		s.scheduleSlowness()
+	}
 	return s
 }
 
@@ -360,6 +370,10 @@
 	answer map[core.ReplyID]func(core.Answer)
 	wake   micros.Micros
 	recent []core.Call
+	// cost is how long a step takes at present; backlog waits for the one under way.
+	cost    micros.Micros
+	working bool
+	backlog []queuedInput
 	// reports decodes what workers say, as a real controller does.
 	reports *wire.ReportReader
 	// frozenUntil: until then the process stands still, and what comes in waits.
@@ -380,6 +394,7 @@
 	}
 	n.life++
 	n.frozenUntil, n.waiting = 0, nil
+	n.working, n.backlog = false, nil
 	n.reports = wire.NewReportReader(1 << 20)
 	n.core = core.New(cfg, n.sim.rng.Uint64())
 	n.answer = map[core.ReplyID]func(core.Answer){}
@@ -417,7 +432,16 @@
 		n.waiting = append(n.waiting, in)
 		return
 	}
-	at := core.Instant{Steady: n.steady(), Wall: n.sim.now + micros.Micros(n.id)*3*ms}
+	if n.cost > 0 || n.working {
+		n.backlog = append(n.backlog, queuedInput{in, n.sim.now})
+		n.work()
+		return
+	}
+	n.carryOut(in, 0)
+}
+
+func (n *Node) carryOut(in core.Input, took micros.Micros) {
+	at := core.Instant{Steady: n.steady(), Wall: n.sim.now + micros.Micros(n.id)*3*ms, Took: took}
 	for _, e := range n.core.Step(at, in) {
 		switch e := e.(type) {
 		case core.Answer:
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -59,6 +59,13 @@
 		{"many at a time, teams parted", fourTeam, Plan{Nodes: 3, Machines: 20, Jobs: 30, Faults: true, Fleet: true}, 12},
 		{"fleet, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 1200, Jobs: 120, Grown: true, Faults: true, Fleet: true}, 2},
 		{"fleet, teams parted", fleetTeam, Plan{Nodes: 3, Machines: 1200, Jobs: 120, Grown: true, Faults: true, Fleet: true}, 2},
+		// A step takes so long that inputs come twice, and ten times, as fast as they
+		// can be dealt with.
+		{"slow, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 8, Jobs: 20, Slow: 30 * ms}, 4},
+		{"slow, teams parted", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Slow: 30 * ms}, 4},
+		{"ten times too slow, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 8, Jobs: 20, Slow: 300 * ms}, 4},
+		{"ten times too slow, teams parted", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Slow: 300 * ms}, 4},
+		{"ten times too slow, troubles", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Faults: true, Slow: 300 * ms}, 6},
 	} {
 		for seed := range seeds(r.seeds) {
 			t.Run(fmt.Sprintf("%s/%d", r.name, seed), func(t *testing.T) {
@@ -76,6 +83,12 @@
 				if p.Fleet && (s.ZoneCuts < 3 || p.Machines > 100 && (s.Died == 0 || s.Hung == 0)) {
 					t.Errorf("too little happened: %d zone cuts, %d dead, %d hung, %d frozen", s.ZoneCuts, s.Died, s.Hung, s.Frozen)
 				}
+				if p.Slow > 0 && s.Waited < 3*p.Slow {
+					t.Errorf("nothing had to wait: %v s at most", s.Waited.Seconds())
+				}
+				if s.Wasted > 0 {
+					t.Errorf("%d machines returned with work on them, though nothing was wrong with them", s.Wasted)
+				}
 				if s.Started == 0 || s.Finished == 0 {
 					t.Errorf("nothing ran: %d started, %d finished", s.Started, s.Finished)
 				}
