Jobs in memory bounded by ram_mb; settings too small for any service end the start

Cause: 20,000 open jobs were allowed whatever the memory, 40 MB of the 68 that the smaller machines leave the collector. Now an eighth of ram_mb for open jobs, a thirty-second each for final states and remembered task lists, in the one place that works sizes out.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -277,8 +277,9 @@
 	c.want(cl.State.TxnOps >= 2, "cluster.state.txn_ops", cl.State.TxnOps, "at least 2")
 	c.positive("cluster.cloud.rps", cl.Cloud.RPS)
 	c.amount("cluster.cloud.list_lag_s", cl.Cloud.ListLagS)
-	c.positive("cluster.resources.core_share", cl.Resources.CoreShare)
-	c.positive("cluster.resources.ram_mb", cl.Resources.RAMMB)
+	// Less than this serves nobody: a start alone would take minutes, or not fit.
+	c.want(cl.Resources.CoreShare >= 0.001, "cluster.resources.core_share", cl.Resources.CoreShare, "at least 0.001")
+	c.want(cl.Resources.RAMMB >= 24, "cluster.resources.ram_mb", cl.Resources.RAMMB, "at least 24")
 	c.want(cl.Resources.Sockets >= 128, "cluster.resources.sockets", cl.Resources.Sockets, "at least 128")
 	return c.err
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,6 +57,8 @@
 		{"no lease", "lease_s = 45.0", "lease_s = 0.0", "cluster.workers.lease_s = 0"},
 		{"endless lease", "lease_s = 45.0", "lease_s = inf", "cluster.workers.lease_s"},
 		{"wrong type", "rps = 150.0", `rps = "many"`, "cluster.state.rps"},
+		{"no time", "core_share = 0.24", "core_share = 0.0001", "cluster.resources.core_share = 0.0001"},
+		{"no memory", "ram_mb = 451.0", "ram_mb = 8.0", "cluster.resources.ram_mb = 8"},
 		{"few sockets", "sockets = 5000", "sockets = 3", "cluster.resources.sockets = 3"},
 		{"not TOML", "[cluster]", "[cluster", "line"},
 	} {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 package core
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -37,8 +38,10 @@
 	CloudRPS           float64
 	ListLag            micros.Micros
 
-	// Asks bounds the requests to workers under way.
-	Asks int
+	// Asks bounds the requests to workers under way, OpenJobs the unfinished jobs:
+	// past it submissions are refused, with a time to come back. FinalJobs is how many
+	// final states are kept in memory; older ones are read again. 0: defaults.
+	Asks, OpenJobs, FinalJobs int
 
 	SilentReturn micros.Micros // 0: never; below 0: derived from ReportEvery
 	DrainHorizon micros.Micros
@@ -247,6 +250,8 @@
 
 // New makes a core. Equal seeds and inputs give equal effects.
 func New(cfg Config, seed uint64) *Core {
+	cfg.OpenJobs = cmp.Or(cfg.OpenJobs, 20_000)
+	cfg.FinalJobs = cmp.Or(cfg.FinalJobs, 20_000)
 	c := &Core{
 		cfg:     cfg,
 		bounds:  NewBounds(cfg.Lease, cfg.WorkerLease, cfg.Cancel),
@@ -269,7 +274,7 @@
 	c.shareOf = PartTeams(cfg.Teams, cfg.Shares)
 	c.orders.most = max(cfg.Asks, 8)
 	c.own.init(cfg.Shares)
-	c.jobs.init()
+	c.jobs.init(c.cfg.FinalJobs)
 	c.fleet.init(cfg)
 	c.runs.init()
 	for _, p := range cfg.Peers {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -77,14 +77,14 @@
 type jobTable struct {
 	open     map[string]*job
 	finals   map[string]finalJob
+	most     int // final states kept
 	ring     []string
 	ringAt   int
 	creating map[string]*creation
 }
 
-const maxFinals = 20_000
-
-func (t *jobTable) init() {
+func (t *jobTable) init(most int) {
+	t.most = most
 	t.open = map[string]*job{}
 	t.finals = map[string]finalJob{}
 	t.creating = map[string]*creation{}
@@ -99,12 +99,12 @@
 	if _, ok := t.finals[id]; ok {
 		return
 	}
-	if len(t.ring) < maxFinals {
+	if len(t.ring) < t.most {
 		t.ring = append(t.ring, id)
 	} else {
 		delete(t.finals, t.ring[t.ringAt])
 		t.ring[t.ringAt] = id
-		t.ringAt = (t.ringAt + 1) % maxFinals
+		t.ringAt = (t.ringAt + 1) % t.most
 	}
 	t.finals[id] = f
 }
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -636,3 +636,39 @@
 		})
 	}
 }
+
+// TestFullTables fills the tables of jobs and goes past them: a new job is put off
+// with a time to come back, a known one is answered as ever, and a final state
+// that was let go of is read again.
+func TestFullTables(t *testing.T) {
+	h := newHarness(t, func(c *Config) { c.OpenJobs, c.FinalJobs = 3, 2 })
+	ids := []string{"job-000001", "job-000002", "job-000003", "job-000004"}
+	for i, id := range ids {
+		a := h.submit(jobOf(id, 1))
+		if want := 201; i < 3 && a.Status != want {
+			t.Errorf("%s answered %d, want %d", id, a.Status, want)
+		}
+		if i == 3 && (a.Status != 429 || a.RetryAfterS < 1) {
+			t.Errorf("past the bound: %d, come back after %d s", a.Status, a.RetryAfterS)
+		}
+	}
+	if a := h.submit(jobOf(ids[0], 1)); a.Status != 200 {
+		t.Errorf("a known job's submission past the bound: %d, want 200", a.Status)
+	}
+	for _, id := range ids[:3] {
+		if a := h.ask(func(r ReplyID) Input { return Withdraw{Reply: r, ID: id} }); a.Status != 200 {
+			t.Errorf("cancelling %s: %d", id, a.Status)
+		}
+	}
+	if n := len(h.c.jobs.finals); n != 2 {
+		t.Errorf("%d final states kept, want 2", n)
+	}
+	for _, id := range ids[:3] {
+		if state := h.state(id); state != wire.StateCancelled {
+			t.Errorf("%s is %q", id, state)
+		}
+	}
+	if a := h.submit(jobOf(ids[3], 1)); a.Status != 201 {
+		t.Errorf("with room again: %d, want 201", a.Status)
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -11,10 +11,6 @@
 	waiters []func(status int, state string)
 }
 
-// maxOpenJobs bounds memory: beyond it submissions are refused, with a time to
-// come back.
-const maxOpenJobs = 20_000
-
 func (c *Core) ready(in Ready) {
 	status := 503
 	switch {
@@ -270,7 +266,7 @@
 		})
 		return
 	}
-	if len(c.jobs.open) >= maxOpenJobs || c.stateQueued() > 40 {
+	if len(c.jobs.open) >= c.cfg.OpenJobs || c.stateQueued() > 40 {
 		c.answer(in.Reply, 429, nil, 2)
 		return
 	}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -99,7 +99,7 @@
 
 // CoreConfig gives the core what it needs of the settings.
 func CoreConfig(set config.Settings, opt config.Options) core.Config {
-	cl := set.Cluster
+	cl, sz := set.Cluster, SizesOf(set)
 	cfg := core.Config{
 		Label: set.Label, Shares: cl.Nodes,
 		Lease:       micros.Micros(opt.LeaseMS) * micros.Millisecond,
@@ -108,7 +108,7 @@
 		Cancel:      micros.FromSeconds(cl.Workers.CancelS),
 		StateRPS:    cl.State.RPS, WriteRPS: cl.State.WriteRPS,
 		ValueBytes: int(cl.State.ValueKB * 1024), TxnOps: cl.State.TxnOps,
-		Asks:     SizesOf(set).Asks,
+		Asks: sz.Asks, OpenJobs: sz.OpenJobs, FinalJobs: sz.FinalJobs,
 		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
 		SilentReturn: silentReturn(opt),
 		DrainHorizon: micros.FromSeconds(opt.DrainHorizonS),
--- a/internal/runtime/runtime_test.go
+++ b/internal/runtime/runtime_test.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// What a machine and a connection take, with room to spare: see docs/account.md.
+const (
+	machineBytes = 6 << 10
+	connBytes    = 2 << 10
+)
+
 // One controller left alone serves every worker, at half as many machines again
 // as a deployment is planned for, and some users beside; what it keeps for calls
 // is enough for them; all of it fits into what the settings give.
@@ -62,6 +68,8 @@
 		{"magnolia grown", 1800, 179, 701},
 		{"inkingi fleet", 4317, 441, 2036},
 		{"magnolia fleet", 3282, 322, 1219},
+		{"inkingi lean", 5000, 277, 2180},
+		{"magnolia lean", 1800, 114, 701},
 		{"the least that starts", 128, 32, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -81,6 +89,16 @@
 			if sz.Asks > sz.Workers || sz.Serve < 1 || sz.Services < 16 {
 				t.Errorf("no room for calls: %+v", sz)
 			}
+			// Live data stays well below the collector's limit, at the most that it lets in.
+			limit := int(tc.ramMB * config.Defaults().MemoryShare * (1 << 20))
+			live := tc.machines*3/2*machineBytes + sz.OpenJobs*openJobBytes + sz.FinalJobs*finalJobBytes + sz.Lists + int(sz.Held) +
+				sz.Serve*connBytes + sz.StateBody
+			if tc.machines > 0 && live > limit*4/5 {
+				t.Errorf("%d bytes of live data, the limit is %d", live, limit)
+			}
+			if tc.machines > 0 && sz.OpenJobs < 3000 {
+				t.Errorf("%d open jobs at most", sz.OpenJobs)
+			}
 			if ram := int(tc.ramMB * (1 << 20)); sz.StateBody < 2*page || 3*sz.StateBody+int(sz.Held) > ram/2 {
 				t.Errorf("answers of %d bytes in %d", sz.StateBody, ram)
 			}
--- a/internal/runtime/sizes.go
+++ b/internal/runtime/sizes.go
@@ -20,6 +20,8 @@
 	// its own. A larger one leads to a fresh listing. Held bounds unparsed input.
 	StateBody int
 	Held      int64
+	// OpenJobs bounds the unfinished jobs, FinalJobs the final states that are kept.
+	OpenJobs, FinalJobs int
 	// Lists bounds the workers' task lists that are remembered, in bytes.
 	Lists int
 	// Idle is how long a connection may be without a request. Workers report and
@@ -35,6 +37,13 @@
 // page is the most that the state service puts into one page of a listing.
 const page = 512 << 10
 
+// What a job takes: BenchmarkMemory gives 2.1 KB for one of 500 tasks that waits,
+// and 113 bytes for a final state.
+const (
+	openJobBytes  = 4 << 10
+	finalJobBytes = 128
+)
+
 // SizesOf works the sizes out.
 func SizesOf(set config.Settings) Sizes {
 	res := set.Cluster.Resources
@@ -50,6 +59,8 @@
 	sz.StateBody = min(max(ram/16, 2*page), 24<<20)
 	sz.Held = int64(max(ram/16, 2*page))
 	sz.Lists = ram / 32
+	sz.OpenJobs = min(max(ram/8/openJobBytes, 500), 20_000)
+	sz.FinalJobs = min(max(ram/32/finalJobBytes, 2000), 20_000)
 	sz.Idle = min(max(micros.FromSeconds(3*set.Cluster.Workers.ReportS).Duration(), 20*time.Second), 75*time.Second)
 	return sz
 }
