One of two controllers asks for the other's status

Cause: each told the other once a second and was answered the same; a sixth of what wakes a controller in calm. The answer now carries all that a status does but the demand; who leads, else who is later by name, leaves the asking to the other unless it has something to tell or waits for the other to be quiet. Ruled out: asking less often than once a second, which would lengthen takeovers.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -278,7 +278,7 @@
 	c.fleet.init(cfg)
 	c.runs.init()
 	for _, p := range cfg.Peers {
-		c.peers[p] = &peerView{label: p, heardAt: -micros.Never}
+		c.peers[p] = &peerView{label: p, heardAt: -micros.Never, statusAt: -micros.Never}
 	}
 	return c
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -10,15 +10,17 @@
 type peerView struct {
 	label   string
 	heardAt micros.Micros
-	uptime  micros.Micros
-	stateOK bool
-	deaf    bool
-	busy    bool
-	nextAt  micros.Micros
-	demand  []peer.Demand
-	demAt   micros.Micros
-	heard   map[string]bool // machines that tried it of late
-	gone    []string        // returned machines that it has not been told of
+	// statusAt is when its last own Status came, beside answers to ours.
+	statusAt micros.Micros
+	uptime   micros.Micros
+	stateOK  bool
+	deaf     bool
+	busy     bool
+	nextAt   micros.Micros
+	demand   []peer.Demand
+	demAt    micros.Micros
+	heard    map[string]bool // machines that tried it of late
+	gone     []string        // returned machines that it has not been told of
 }
 
 const statusEvery = micros.Second
@@ -37,7 +39,7 @@
 
 func (c *Core) housePeers() {
 	for _, label := range c.cfg.Peers {
-		if p := c.peers[label]; c.now >= p.nextAt {
+		if p := c.peers[label]; c.now >= p.nextAt && !c.toldEnough(p) {
 			c.sendStatus(p)
 		}
 	}
@@ -48,6 +50,49 @@
 	}
 }
 
+// toldEnough: the other node's own Status keeps coming, and its answers tell it all
+// that ours would. Of two nodes one then does the asking: who is not the leader,
+// since it has its demand to tell, else the first by name.
+func (c *Core) toldEnough(p *peerView) bool {
+	leader := c.own.leader.rec.Label
+	if c.now-p.statusAt > statusEvery*6/5 || len(p.gone) > 0 || leader == p.label || leader != c.cfg.Label && c.cfg.Label < p.label {
+		return false
+	}
+	for _, s := range c.own.shares {
+		if _, quiet := s.quiet[p.label]; s.active && !quiet {
+			return false // it has not said yet that it gives no commands there
+		}
+	}
+	return true
+}
+
+// owns lists the shares for which this node acts.
+func (c *Core) owns() (out []peer.Owned) {
+	for _, s := range c.own.shares {
+		if c.acting(s.id) != nil {
+			out = append(out, peer.Owned{Share: s.id, Mark: s.mark})
+		}
+	}
+	return out
+}
+
+// heardFor lists the machines of another node's shares that tried this one of late.
+func (c *Core) heardFor(label string) (out []string) {
+	for _, id := range sortedKeys(c.heard) {
+		if m := c.mach[id]; m != nil && c.own.shares[m.rec.Share].rec.Label == label {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (p *peerView) noteHeard(ids []string) {
+	p.heard = map[string]bool{}
+	for _, id := range ids {
+		p.heard[id] = true
+	}
+}
+
 func (c *Core) sendStatus(p *peerView) {
 	if p.busy {
 		p.nextAt = c.now
@@ -59,11 +104,8 @@
 		UptimeUS: int64(c.now - c.began),
 		StateOK:  c.stateFresh(),
 		Deaf:     c.ears.deaf,
-	}
-	for _, s := range c.own.shares {
-		if c.acting(s.id) != nil {
-			st.Owns = append(st.Owns, peer.Owned{Share: s.id, Mark: s.mark})
-		}
+		Owns:     c.owns(),
+		Heard:    c.heardFor(p.label),
 	}
 	if c.own.leader.rec.Label == p.label {
 		st.Demand = c.demands()
@@ -82,10 +124,8 @@
 		p.heardAt = c.now
 		p.uptime = micros.Micros(resp.Status.UptimeUS)
 		p.stateOK, p.deaf = resp.Status.StateOK, resp.Status.Deaf
-		p.heard = map[string]bool{}
-		for _, id := range resp.Status.Heard {
-			p.heard[id] = true
-		}
+		p.noteHeard(resp.Status.Heard)
+		c.noteOwned(resp.Status.Owns)
 		for _, id := range resp.Status.Quiet {
 			for _, o := range sent {
 				if o.Share == id && c.own.shares[id].mark == o.Mark {
@@ -106,7 +146,8 @@
 	}
 	switch {
 	case req.Status != nil:
-		p.heardAt = c.now
+		p.heardAt, p.statusAt = c.now, c.now
+		p.noteHeard(req.Status.Heard)
 		p.uptime = micros.Micros(req.Status.UptimeUS)
 		p.stateOK, p.deaf = req.Status.StateOK, req.Status.Deaf
 		if req.Status.Demand != nil || c.leading() {
@@ -120,11 +161,8 @@
 			StateOK:  c.stateFresh(),
 			Deaf:     c.ears.deaf,
 			Quiet:    c.noteOwned(req.Status.Owns),
-		}
-		for _, id := range sortedKeys(c.heard) {
-			if m := c.mach[id]; m != nil && c.own.shares[m.rec.Share].rec.Label == req.From {
-				resp.Status.Heard = append(resp.Status.Heard, id)
-			}
+			Owns:     c.owns(),
+			Heard:    c.heardFor(p.label),
 		}
 	case req.Ask != nil:
 		c.askedAbout(*req.Ask, func(a peer.Answer) {
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -672,3 +672,35 @@
 		t.Errorf("with room again: %d, want 201", a.Status)
 	}
 }
+
+// TestStatusOnce: of two controllers one asks and the other answers; who is not
+// asked, has something to tell, or waits for the other to be quiet, asks itself.
+func TestStatusOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		asked  bool
+		change func(*harness)
+		sends  bool
+	}{
+		{"asked, leading", true, func(*harness) {}, false},
+		{"not asked", false, func(*harness) {}, true},
+		{"asked, with returned machines to tell of", true, func(h *harness) { h.c.peers["n-1"].gone = []string{"vm-9"} }, true},
+		{"asked, but it has not said that it is quiet", true, func(h *harness) { clear(h.c.own.shares[0].quiet) }, true},
+		{"asked by the leader", true, func(h *harness) { h.c.own.leader.rec.Label = "n-1" }, true},
+		{"asked by one that is later by name, a third leads", true, func(h *harness) { h.c.own.leader.rec.Label = "n-2" }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"} })
+			h.run(5 * sec)
+			if tc.asked {
+				h.ask(func(r ReplyID) Input {
+					return PeerMessage{Reply: r, Req: peer.Request{From: "n-1", Status: &peer.Status{StateOK: true}}}
+				})
+			}
+			tc.change(h)
+			if got := !h.c.toldEnough(h.c.peers["n-1"]); got != tc.sends {
+				t.Errorf("sends its own: %v, want %v", got, tc.sends)
+			}
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,15 +37,18 @@
 	Demand   []Demand `msgpack:"d,omitempty"`
 	// Gone are machines whose return the cloud has confirmed to the sender.
 	Gone []string `msgpack:"g,omitempty"`
+	// Heard are machines of the other node's shares that tried the sender of late.
+	Heard []string `msgpack:"h,omitempty"`
 }
 
 // StatusAck answers a Status. Quiet lists the shares of the Status for which
 // the answering node gives no commands and will give none.
 type StatusAck struct {
-	UptimeUS int64 `msgpack:"u"`
-	StateOK  bool  `msgpack:"k"`
-	Deaf     bool  `msgpack:"e,omitempty"`
-	Quiet    []int `msgpack:"q,omitempty"`
+	UptimeUS int64   `msgpack:"u"`
+	StateOK  bool    `msgpack:"k"`
+	Deaf     bool    `msgpack:"e,omitempty"`
+	Quiet    []int   `msgpack:"q,omitempty"`
+	Owns     []Owned `msgpack:"o,omitempty"`
 	// Heard are machines of the asking node's shares that tried the answering one of late.
 	Heard []string `msgpack:"h,omitempty"`
 }
