More connections to workers are kept, and for a minute

A sixth of the sockets now (1,024 at most), for about as long as a task runs; what gives way is found without looking at all of them. Requests under way are bounded as before.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -4,10 +4,12 @@
 package client
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,11 +38,14 @@
 	mu   sync.Mutex
 	open int
 	idle map[string][]*idleConn
+	kept *list.List // all of them, the one kept for longest first
 }
 
 type idleConn struct {
 	net.Conn
+	addr  string
 	since time.Time
+	at    *list.Element
 }
 
 // New makes a client.
@@ -49,7 +54,7 @@
 		d := &net.Dialer{KeepAlive: -1}
 		cfg.Dial = d.DialContext
 	}
-	return &Client{cfg: cfg, idle: map[string][]*idleConn{}}
+	return &Client{cfg: cfg, idle: map[string][]*idleConn{}, kept: list.New()}
 }
 
 // Call is one request.
@@ -123,11 +128,9 @@
 func (c *Client) get(ctx context.Context, addr string, deadline time.Time) (net.Conn, error) {
 	now := time.Now()
 	c.mu.Lock()
-	kept := c.idle[addr]
-	for len(kept) > 0 {
+	for kept := c.idle[addr]; len(kept) > 0; kept = c.idle[addr] {
 		ic := kept[len(kept)-1]
-		kept = kept[:len(kept)-1]
-		c.idle[addr] = kept
+		c.unkeep(ic)
 		if now.Sub(ic.since) <= c.cfg.IdleTimeout {
 			c.mu.Unlock()
 			return ic.Conn, nil
@@ -161,24 +164,35 @@
 // never keep others from being called (a takeover of 900 machines found all of
 // 400 connections kept, and could ask nobody for 10 s). The lock is held.
 func (c *Client) evict() bool {
-	var oldest *idleConn
-	addr := ""
-	for a, kept := range c.idle {
-		if len(kept) > 0 && (oldest == nil || kept[0].since.Before(oldest.since)) {
-			oldest, addr = kept[0], a
-		}
-	}
+	oldest := c.kept.Front()
 	if oldest == nil {
 		return false
 	}
-	oldest.Close()
-	c.open--
-	if c.idle[addr] = c.idle[addr][1:]; len(c.idle[addr]) == 0 {
-		delete(c.idle, addr)
-	}
+	c.end(oldest.Value.(*idleConn))
 	return true
 }
 
+// unkeep takes a connection off those that are kept; end closes it too. The lock
+// is held.
+func (c *Client) unkeep(ic *idleConn) {
+	c.kept.Remove(ic.at)
+	kept := c.idle[ic.addr]
+	if i := slices.Index(kept, ic); i >= 0 {
+		kept = slices.Delete(kept, i, i+1)
+	}
+	if len(kept) == 0 {
+		delete(c.idle, ic.addr)
+	} else {
+		c.idle[ic.addr] = kept
+	}
+}
+
+func (c *Client) end(ic *idleConn) {
+	c.unkeep(ic)
+	ic.Close()
+	c.open--
+}
+
 func (c *Client) drop(conn net.Conn) {
 	conn.Close()
 	c.mu.Lock()
@@ -194,7 +208,9 @@
 		c.open--
 		return
 	}
-	c.idle[addr] = append(c.idle[addr], &idleConn{conn, time.Now()})
+	ic := &idleConn{Conn: conn, addr: addr, since: time.Now()}
+	ic.at = c.kept.PushBack(ic)
+	c.idle[addr] = append(c.idle[addr], ic)
 }
 
 // Sweep closes connections that were kept too long.
@@ -202,21 +218,12 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for addr, kept := range c.idle {
-		live := kept[:0]
-		for _, ic := range kept {
-			if now.Sub(ic.since) > c.cfg.IdleTimeout {
-				ic.Close()
-				c.open--
-				continue
-			}
-			live = append(live, ic)
-		}
-		if len(live) == 0 {
-			delete(c.idle, addr)
-		} else {
-			c.idle[addr] = live
+	for e := c.kept.Front(); e != nil; e = c.kept.Front() {
+		ic := e.Value.(*idleConn)
+		if now.Sub(ic.since) <= c.cfg.IdleTimeout {
+			return
 		}
+		c.end(ic)
 	}
 }
 
@@ -224,9 +231,7 @@
 func (c *Client) Forget(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, ic := range c.idle[addr] {
-		ic.Close()
-		c.open--
+	for len(c.idle[addr]) > 0 {
+		c.end(c.idle[addr][0])
 	}
-	delete(c.idle, addr)
 }
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -81,8 +81,9 @@
 	}
 	rt.out = client.New(outbound)
 	outbound.MaxIdle, outbound.MaxBody, outbound.MaxConns = 1, maxBody, sz.Workers
+	outbound.IdleTimeout = time.Minute // about as long as a task runs
 	rt.workers = client.New(outbound)
-	rt.most = [...]int{core.ToState: sz.Services / 2, core.ToCloud: sz.Services / 8, core.ToWorker: sz.Workers, core.ToPeer: sz.Services * 3 / 8}
+	rt.most = [...]int{core.ToState: sz.Services / 2, core.ToCloud: sz.Services / 8, core.ToWorker: 2 * sz.Asks, core.ToPeer: sz.Services * 3 / 8}
 	rt.srv = server.New(server.Config{
 		Addrs:    []string{set.ServeOn, set.InternalAddr},
 		MaxConns: sz.Serve,
--- a/internal/runtime/sizes.go
+++ b/internal/runtime/sizes.go
@@ -53,7 +53,8 @@
 		Services: min(max(res.Sockets/16, 16), 256),
 		Asks:     min(max(res.Sockets/30, 8), 96),
 	}
-	sz.Workers = min(max(res.Sockets/16, 2*sz.Asks), 256)
+	// Most orders find a kept connection: a new one wakes this node twice more.
+	sz.Workers = min(max(res.Sockets/6, 2*sz.Asks), 1024)
 	sz.Serve = max(res.Sockets-sz.Services-sz.Workers-reserved-server.Sockets(0), 1)
 	ram := int(res.RAMMB * (1 << 20))
 	sz.StateBody = min(max(ram/16, 2*page), 24<<20)
