--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -216,6 +216,37 @@
 	}
 }
 
+// A flood of requests that can't be read, or are too large, is refused without the
+// handler, which keeps its time for reports and leases.
+func TestBadInputStaysOut(t *testing.T) {
+	var handled atomic.Int64
+	addr := serveWith(t, 10, func(r Request) {
+		handled.Add(1)
+		r.Reply().Send(Answer{Status: 200})
+	})
+	for i := range 200 {
+		bad := []string{"HELLO\r\n\r\n", "POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", "GET /" + strings.Repeat("x", 9000) + " HTTP/1.1\r\n\r\n"}[i%3]
+		c := dial(t, addr)
+		if _, err := io.WriteString(c, bad); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := []int{400, 413, 431}[i%3]; resp.StatusCode != want {
+			t.Errorf("request %d: status %d, want %d", i, resp.StatusCode, want)
+		}
+		c.Close()
+	}
+	if n := handled.Load(); n != 0 {
+		t.Errorf("%d bad requests reached the handler", n)
+	}
+	if resp := ask(t, dial(t, addr), "/a"); resp.StatusCode != 200 {
+		t.Errorf("a good request after the flood: %d", resp.StatusCode)
+	}
+}
+
 // A backlog of requests leaves others their turn: what a handler has started in
 // the background begins before the backlog is done.
 func TestBacklogYields(t *testing.T) {
--- a/internal/wire/report.go
+++ b/internal/wire/report.go
@@ -39,16 +39,8 @@
 
 // rawReport is a Report whose list of tasks is not decoded.
 type rawReport struct {
-	Machine string   `cbor:"post"`
-	Addr    string   `cbor:"address"`
-	Type    string   `cbor:"breed"`
-	Zone    string   `cbor:"paddock"`
-	Spot    bool     `cbor:"strays"`
-	Session uint64   `cbor:"tether"`
-	Seq     uint64   `cbor:"tally"`
-	Token   uint64   `cbor:"rein"`
-	NoticeS *float64 `cbor:"warningS"`
-	Tasks   Raw      `cbor:"loads"`
+	Report
+	Tasks Raw `cbor:"loads"` // in the place of Report's own
 }
 
 // NewReportReader makes a reader that remembers lists of at most so many bytes.
@@ -63,8 +55,7 @@
 	if err := Decode(body, raw); err != nil {
 		return Report{}, err
 	}
-	r := Report{Machine: raw.Machine, Addr: raw.Addr, Type: raw.Type, Zone: raw.Zone, Spot: raw.Spot,
-		Session: raw.Session, Seq: raw.Seq, Token: raw.Token, NoticeS: raw.NoticeS}
+	r := raw.Report
 	if r.Machine == "" || len(r.Machine) > 150 || strings.ContainsAny(r.Machine, " \t\r\n") || r.Session == 0 {
 		return r, fmt.Errorf("wire: report without a usable machine or session")
 	}
