--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -248,10 +248,14 @@
 	placed, walked bool
 }
 
+// defaultJobs is how many jobs are kept, unfinished and finished each, where the
+// settings say nothing.
+const defaultJobs = 20_000
+
 // New makes a core. Equal seeds and inputs give equal effects.
 func New(cfg Config, seed uint64) *Core {
-	cfg.OpenJobs = cmp.Or(cfg.OpenJobs, 20_000)
-	cfg.FinalJobs = cmp.Or(cfg.FinalJobs, 20_000)
+	cfg.OpenJobs = cmp.Or(cfg.OpenJobs, defaultJobs)
+	cfg.FinalJobs = cmp.Or(cfg.FinalJobs, defaultJobs)
 	c := &Core{
 		cfg:     cfg,
 		bounds:  NewBounds(cfg.Lease, cfg.WorkerLease, cfg.Cancel),
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -87,9 +87,9 @@
 	for i := range shares {
 		o.shares = append(o.shares, &share{id: i})
 	}
+	o.ctl = watched{prefix: wire.PrefixControl, every: 80 * micros.Millisecond, openedAt: -micros.Never}
 	// What the others' jobs do is nobody's hurry: an owner hears of a new job from
 	// the node that took it, and a claim looks by itself.
-	o.ctl = watched{prefix: wire.PrefixControl, every: 80 * micros.Millisecond, openedAt: -micros.Never}
 	o.job = watched{prefix: wire.PrefixJob, every: 400 * micros.Millisecond, openedAt: -micros.Never}
 	o.contact = -micros.Never
 }
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -166,7 +166,7 @@
 			return
 		}
 		r.verDirty = true
-		r.verNext = c.now + c.jitter(2*micros.Second)
+		r.verNext = c.now + c.jitter(versionEvery)
 		if res.NotSent || res.Status == 503 || res.Status == 429 {
 			r.verBusy = false
 			return
--- a/internal/wire/report.go
+++ b/internal/wire/report.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"strings"
-	"unsafe"
 )
 
 // ParseReport decodes and checks a worker's report.
@@ -32,10 +31,11 @@
 	tasks []TaskReport
 }
 
+// taskBytes is what a TaskReport takes beside its texts.
+const taskBytes = 64
+
 // bytes is about what a list takes.
-func (l taskList) bytes() int {
-	return 128 + 2*len(l.raw) + len(l.tasks)*int(unsafe.Sizeof(TaskReport{}))
-}
+func (l taskList) bytes() int { return 128 + 2*len(l.raw) + taskBytes*len(l.tasks) }
 
 // rawReport is a Report whose list of tasks is not decoded.
 type rawReport struct {
