What controllers tell of themselves in one piece, for a status and for its answer

Status and its answer carried the same five fields, built and taken in twice each; the form on the wire is the same. Returned machines are now taken in after who owns what, which ends in the same state.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -107,7 +107,7 @@
 		}
 		resp := &peer.Response{From: c.Addr}
 		if req := c.Req.(peer.Request); req.Status != nil {
-			resp.Status = &peer.StatusAck{StateOK: true}
+			resp.Status = &peer.StatusAck{About: peer.About{StateOK: true}}
 			for _, o := range req.Status.Owns {
 				resp.Status.Quiet = append(resp.Status.Quiet, o.Share)
 			}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -66,31 +66,34 @@
 	return true
 }
 
-// owns lists the shares for which this node acts.
-func (c *Core) owns() (out []peer.Owned) {
+// about is what this node tells another of itself: the shares for which it acts,
+// and the machines of the other's shares that tried it of late, among the rest.
+func (c *Core) about(p *peerView) peer.About {
+	out := peer.About{UptimeUS: int64(c.now - c.began), StateOK: c.stateFresh(), Deaf: c.ears.deaf}
 	for _, s := range c.own.shares {
 		if c.acting(s.id) != nil {
-			out = append(out, peer.Owned{Share: s.id, Mark: s.mark})
+			out.Owns = append(out.Owns, peer.Owned{Share: s.id, Mark: s.mark})
 		}
 	}
-	return out
-}
-
-// heardFor lists the machines of another node's shares that tried this one of late.
-func (c *Core) heardFor(label string) (out []string) {
 	for _, id := range sortedKeys(c.heard) {
-		if m := c.mach[id]; m != nil && c.own.shares[m.rec.Share].rec.Label == label {
-			out = append(out, id)
+		if m := c.mach[id]; m != nil && c.own.shares[m.rec.Share].rec.Label == p.label {
+			out.Heard = append(out.Heard, id)
 		}
 	}
 	return out
 }
 
-func (p *peerView) noteHeard(ids []string) {
+// noteAbout takes what another node tells of itself, and gives the shares of its
+// for which this node gives no commands.
+func (c *Core) noteAbout(p *peerView, a *peer.About) (quiet []int) {
+	p.heardAt = c.now
+	p.uptime = micros.Micros(a.UptimeUS)
+	p.stateOK, p.deaf = a.StateOK, a.Deaf
 	p.heard = map[string]bool{}
-	for _, id := range ids {
+	for _, id := range a.Heard {
 		p.heard[id] = true
 	}
+	return c.noteOwned(a.Owns)
 }
 
 func (c *Core) sendStatus(p *peerView) {
@@ -100,13 +103,7 @@
 	}
 	p.busy = true
 	p.nextAt = c.now + statusEvery
-	st := &peer.Status{
-		UptimeUS: int64(c.now - c.began),
-		StateOK:  c.stateFresh(),
-		Deaf:     c.ears.deaf,
-		Owns:     c.owns(),
-		Heard:    c.heardFor(p.label),
-	}
+	st := &peer.Status{About: c.about(p)}
 	if c.own.leader.rec.Label == p.label {
 		st.Demand = c.demands()
 		c.logRooms()
@@ -121,11 +118,7 @@
 			return
 		}
 		p.gone = p.gone[min(told, len(p.gone)):]
-		p.heardAt = c.now
-		p.uptime = micros.Micros(resp.Status.UptimeUS)
-		p.stateOK, p.deaf = resp.Status.StateOK, resp.Status.Deaf
-		p.noteHeard(resp.Status.Heard)
-		c.noteOwned(resp.Status.Owns)
+		c.noteAbout(p, &resp.Status.About)
 		for _, id := range resp.Status.Quiet {
 			for _, o := range sent {
 				if o.Share == id && c.own.shares[id].mark == o.Mark {
@@ -146,24 +139,15 @@
 	}
 	switch {
 	case req.Status != nil:
-		p.heardAt, p.statusAt = c.now, c.now
-		p.noteHeard(req.Status.Heard)
-		p.uptime = micros.Micros(req.Status.UptimeUS)
-		p.stateOK, p.deaf = req.Status.StateOK, req.Status.Deaf
+		p.statusAt = c.now
+		quiet := c.noteAbout(p, &req.Status.About)
 		if req.Status.Demand != nil || c.leading() {
 			p.demand, p.demAt = req.Status.Demand, c.now
 		}
 		for _, id := range req.Status.Gone {
 			c.machineReturned(id)
 		}
-		resp.Status = &peer.StatusAck{
-			UptimeUS: int64(c.now - c.began),
-			StateOK:  c.stateFresh(),
-			Deaf:     c.ears.deaf,
-			Quiet:    c.noteOwned(req.Status.Owns),
-			Owns:     c.owns(),
-			Heard:    c.heardFor(p.label),
-		}
+		resp.Status = &peer.StatusAck{About: c.about(p), Quiet: quiet}
 	case req.Ask != nil:
 		c.askedAbout(*req.Ask, func(a peer.Answer) {
 			resp.Answer = &a
--- a/internal/core/repeats_test.go
+++ b/internal/core/repeats_test.go
@@ -222,7 +222,7 @@
 		name string
 		req  peer.Request
 	}{
-		{"a status from before our claim", peer.Request{Status: &peer.Status{Owns: []peer.Owned{{Share: 0, Mark: s.mark - 1}}}}},
+		{"a status from before our claim", peer.Request{Status: &peer.Status{About: peer.About{Owns: []peer.Owned{{Share: 0, Mark: s.mark - 1}}}}}},
 		{"a release of a busy machine", peer.Request{Release: &peer.Release{Machines: []string{"vm-1"}, Retire: true}}},
 		{"a release of a machine that is gone", peer.Request{Release: &peer.Release{Machines: []string{"vm-8"}, Retire: true}}},
 		{"a hint of a job that is over", peer.Request{Hint: &peer.Hint{ID: "job-000001", Mark: 1, Record: record}}},
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -694,7 +694,7 @@
 			h.run(5 * sec)
 			if tc.asked {
 				h.ask(func(r ReplyID) Input {
-					return PeerMessage{Reply: r, Req: peer.Request{From: "n-1", Status: &peer.Status{StateOK: true}}}
+					return PeerMessage{Reply: r, Req: peer.Request{From: "n-1", Status: &peer.Status{About: peer.About{StateOK: true}}}}
 				})
 			}
 			tc.change(h)
@@ -731,7 +731,7 @@
 			}
 			tc.change(h.c.mach["vm-1"].v)
 			h.ask(func(r ReplyID) Input {
-				return PeerMessage{Reply: r, Req: peer.Request{From: "n-0", Status: &peer.Status{StateOK: true, UptimeUS: int64(tc.uptime)}}}
+				return PeerMessage{Reply: r, Req: peer.Request{From: "n-0", Status: &peer.Status{About: peer.About{StateOK: true, UptimeUS: int64(tc.uptime)}}}}
 			})
 			h.c.handBack()
 			if s.handing != tc.goes {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,30 +27,30 @@
 	OK     bool       `msgpack:"o,omitempty"`
 }
 
+// About is what two controllers tell each other in a Status and in its answer.
+type About struct {
+	UptimeUS int64   `msgpack:"u"`
+	StateOK  bool    `msgpack:"k"`           // the state service answered it of late
+	Deaf     bool    `msgpack:"e,omitempty"` // it does not hear the workers
+	Owns     []Owned `msgpack:"o,omitempty"`
+	// Heard are machines of the other node's shares that tried this one of late.
+	Heard []string `msgpack:"h,omitempty"`
+}
+
 // Status is what a controller tells the others about itself, regularly and
 // after it has taken a share.
 type Status struct {
-	UptimeUS int64    `msgpack:"u"`
-	StateOK  bool     `msgpack:"k"`           // the state service answered it of late
-	Deaf     bool     `msgpack:"e,omitempty"` // it does not hear the workers
-	Owns     []Owned  `msgpack:"o,omitempty"`
-	Demand   []Demand `msgpack:"d,omitempty"`
+	About  `msgpack:",inline"`
+	Demand []Demand `msgpack:"d,omitempty"`
 	// Gone are machines whose return the cloud has confirmed to the sender.
 	Gone []string `msgpack:"g,omitempty"`
-	// Heard are machines of the other node's shares that tried the sender of late.
-	Heard []string `msgpack:"h,omitempty"`
 }
 
 // StatusAck answers a Status. Quiet lists the shares of the Status for which
 // the answering node gives no commands and will give none.
 type StatusAck struct {
-	UptimeUS int64   `msgpack:"u"`
-	StateOK  bool    `msgpack:"k"`
-	Deaf     bool    `msgpack:"e,omitempty"`
-	Quiet    []int   `msgpack:"q,omitempty"`
-	Owns     []Owned `msgpack:"o,omitempty"`
-	// Heard are machines of the asking node's shares that tried the answering one of late.
-	Heard []string `msgpack:"h,omitempty"`
+	About `msgpack:",inline"`
+	Quiet []int `msgpack:"q,omitempty"`
 }
 
 // Owned names a share and the mark of its owner key.
