--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -88,7 +88,7 @@
 			// A machine that came to the record after our claim, and not from another
 			// share, can't have been commanded by anybody else: a record is needed
 			// for that.
-			if created && isCreation(name) {
+			if created && isCreation(name) && mark > s.mark {
 				m.v.settled, m.v.fresh = true, true
 			} else {
 				c.settleMachine(s, m)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -225,6 +225,8 @@
 	orders   orderQueue
 	preempt  preempting
 	round    uint64 // of observe
+	// lookingUp: the job of a stray attempt is being read.
+	lookingUp bool
 	// looks counts machines, jobs and attempts looked at, so that a test can tell
 	// how work grows.
 	looks   uint64
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -83,6 +83,9 @@
 			d.Silent++
 			z.Silent++
 			row.SinceUS = int64(c.unheard(v))
+			if c.mute(v) {
+				row.SinceUS = max(row.SinceUS, int64(c.unanswered(v)))
+			}
 			if r := &v.reach; r.unshown > 0 {
 				row.SinceUS = max(row.SinceUS, int64(c.now-r.since))
 			}
@@ -171,7 +174,7 @@
 			free += unused
 		case !v.settled || !v.known:
 			unsettled += unused
-		case c.unheard(v) > c.late() || c.outOfReach(m):
+		case c.unheard(v) > c.late() || c.outOfReach(m) || c.mute(v):
 			late += unused
 		case v.takenAt != 0:
 			notice += unused
@@ -203,7 +206,7 @@
 		return peer.MachineDoubt
 	case v.fresh && c.now-v.since < 4*micros.Minute:
 		return peer.MachineBooting
-	case !v.known && v.settled || v.gone || c.unheard(v) > c.silence() || c.outOfReach(m):
+	case !v.known && v.settled || v.gone || c.unheard(v) > c.silence() || c.outOfReach(m) || c.mute(v) && v.empty():
 		return peer.MachineSilent
 	case v.sick && c.now < v.asideUntil || v.takenAt != 0 || c.slowness(m) > 0.4 && v.slowN > 3:
 		return peer.MachineBad
--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -14,6 +14,9 @@
 	Answer micros.Micros
 	// Command: for this long it may answer reports and command its machines.
 	Command micros.Micros
+	// Blind: for this long after a claim it may do so without knowing which jobs its
+	// predecessors ended.
+	Blind micros.Micros
 	// WorkerGone: a machine whose last answered report was answered this long
 	// ago holds no task any more.
 	WorkerGone micros.Micros
@@ -31,11 +34,15 @@
 // NewBounds works the bounds out. lease is the controllers' lease in the state
 // service, workerLease and cancel are the workers' settings.
 //
-// A successor can own a share no earlier than the end of the old owner's lease,
-// and could tell a user "cancelled" from then on. The old owner's machines
-// must be rid of the job within cancel after that: they keep it for at most
-// workerLease after the last answer, so the old owner may go on answering for
-// extra = cancel - workerLease - margin, and no longer.
+// An owner's own ending of a job may be carried out with its answer lost, just as
+// the state service begins to refuse it: another node reads the record and tells the
+// user "cancelled" from then on, which may be right after the last renewal. The
+// machines must be rid of the job within cancel after that: they keep it for at most
+// workerLease after the last answer, so the owner may go on answering for
+// extra = cancel - workerLease - margin from that renewal, and no longer.
+//
+// A successor assumes more of a former owner: one of an older version counted extra
+// from the end of its lease.
 func NewBounds(lease, workerLease, cancel micros.Micros) Bounds {
 	const margin = 3 * micros.Second
 	const slip = 100 * micros.Millisecond // a step of a timer, an answer on its way out
@@ -48,8 +55,11 @@
 		answer = 0
 	}
 	return Bounds{
-		Answer:        answer,
-		Command:       answer + extra,
+		Answer:  answer,
+		Command: max(answer, extra),
+		// What its predecessor told last may be a lease older than the claim, and the
+		// claim as much older than its confirmation.
+		Blind:         max(answer, extra-2*lease),
 		WorkerGone:    stretch(workerLease) + slip,
 		SuccessorFree: stretch(extra+workerLease) + 3*slip,
 	}
--- a/internal/core/fence_test.go
+++ b/internal/core/fence_test.go
@@ -29,9 +29,15 @@
 			if b.Command < b.Answer {
 				t.Errorf("commands end at %v, before answers at %v", b.Command, b.Answer)
 			}
-			// Told "cancelled" at the earliest when the lease ends.
-			if last := slow(b.Command) + slow(worker); b.Command > b.Answer && last > lease+cancel {
-				t.Errorf("a machine may keep a cancelled job until %v, allowed is %v", last, lease+cancel)
+			// Told "cancelled" at the earliest right after the last renewal: the record was
+			// carried out, its answer lost, and another node has read it.
+			if last := slow(b.Command) + slow(worker); b.Command > b.Answer && last > cancel {
+				t.Errorf("a machine may keep a cancelled job until %v, allowed is %v", last, cancel)
+			}
+			// A predecessor's last word may be a lease older than the claim, and the claim
+			// as much older than its confirmation.
+			if last := 2*lease + slow(b.Blind) + slow(worker); b.Blind > b.Answer && last > cancel {
+				t.Errorf("a blind owner's machine may keep a cancelled job until %v, allowed is %v", last, cancel)
 			}
 			if b.WorkerGone < slow(worker) {
 				t.Errorf("a machine counts as free after %v, its lease may last %v", b.WorkerGone, slow(worker))
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -31,10 +31,17 @@
 	reply   ReplyID
 	// stateDown and peersDown leave calls without an answer.
 	stateDown, peersDown bool
+	// refused: with stateDown, calls get a 503 at once.
+	refused bool
 	// lose swallows the answers of transactions that touch a key.
 	lose string
 	lost []Call
-	held []Call
+	// late keeps transactions that touch a key back: see carryOut.
+	late    string
+	lateOut []Call
+	held    []Call
+	// told are the Status messages that reached the other controllers.
+	told []peer.Status
 	done []wire.Txn // carried out
 	// listed is what the cloud lists.
 	listed []wire.ListedMachine
@@ -107,6 +114,7 @@
 		}
 		resp := &peer.Response{From: c.Addr}
 		if req := c.Req.(peer.Request); req.Status != nil {
+			h.told = append(h.told, *req.Status)
 			resp.Status = &peer.StatusAck{About: peer.About{StateOK: true}}
 			for _, o := range req.Status.Owns {
 				resp.Status.Quiet = append(resp.Status.Quiet, o.Share)
@@ -132,6 +140,10 @@
 		return
 	}
 	if h.stateDown {
+		if h.refused {
+			result(503, nil)
+			return
+		}
 		h.held = append(h.held, c)
 		return
 	}
@@ -156,6 +168,10 @@
 		}
 		result(200, list)
 	case wire.Txn:
+		if h.late != "" && slices.ContainsFunc(r.Then, func(c wire.Change) bool { return strings.HasPrefix(c.Put+c.Delete, h.late) }) {
+			h.lateOut = append(h.lateOut, c)
+			return
+		}
 		status, body := h.txn(r)
 		if status == 200 {
 			h.done = append(h.done, r)
@@ -187,6 +203,19 @@
 	return 200, &wire.Revision{Revision: h.rev}
 }
 
+// carryOut carries out, late, what was kept back; nobody hears the answers. It gives
+// how many transactions had their conditions met.
+func (h *harness) carryOut() (applied int) {
+	late := h.lateOut
+	h.lateOut = nil
+	for _, c := range late {
+		if status, _ := h.txn(c.Req.(wire.Txn)); status == 200 {
+			applied++
+		}
+	}
+	return applied
+}
+
 // put stores a record as another node would.
 func (h *harness) put(key string, rec any) uint64 {
 	value, err := wire.Encode(rec)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -51,7 +51,11 @@
 	saved    bitset  // tasks whose end is in a recorded Version
 	ended    []*slot // exited tasks that wait for that
 
-	ending  bool // a transaction that ends the job was sent and not settled
+	ending bool // a transaction that ends the job was sent and not settled
+	// unsure: one was sent whose outcome is not known for good. A late copy of it may
+	// be carried out at any time, while others read what it wrote, so nothing is
+	// told of the job from memory any more.
+	unsure  bool
 	want    string
 	endNext micros.Micros
 	waiters []func(peer.Answer)
@@ -71,6 +75,8 @@
 type finalJob struct {
 	state string
 	tasks int
+	// spread: the other controllers are being told of its cancellation.
+	spread bool
 }
 
 // jobTable holds jobs that are not over, and a bounded memory of those that are.
@@ -302,12 +308,35 @@
 		return
 	}
 	j.run.waiters = append(j.run.waiters, done)
-	if j.run.want == "" || !j.run.ending && j.run.want == wire.StateCancelled {
-		c.log(Info, "job cancelled by its user", "job", j.id)
+	c.callOff(j)
+	if !j.run.ending && j.run.want == wire.StateCancelled {
 		c.endJob(j, wire.StateCancelled)
 	}
 }
 
+// callOff takes up a user's wish to cancel a job. It is enough to stop the job's
+// tasks, before and whether or not the record stands: nobody has any use for what
+// they do from now on, and another node may tell "cancelled" before this one knows
+// that its record was carried out. The tasks count until they are seen gone, and the
+// owner goes on trying to record.
+func (c *Core) callOff(j *job) {
+	if j.run.want != "" {
+		return
+	}
+	c.log(Info, "job called off by its user", "job", j.id)
+	j.run.want = wire.StateCancelled
+	c.haltAll(j)
+	c.own.shares[j.share].queueStale = true
+	c.dirty = true
+}
+
+// haltAll stops all of a job's tasks.
+func (c *Core) haltAll(j *job) {
+	for _, idx := range slices.Sorted(maps.Keys(j.run.active)) {
+		c.stop(j.run.active[idx], haltHard)
+	}
+}
+
 // endJob records a job as done or cancelled. Users hear of it only after.
 func (c *Core) endJob(j *job, state string) {
 	r := j.run
@@ -347,6 +376,7 @@
 		default:
 			// Unclear, or something has changed: a read settles it. Until then
 			// nothing is told from memory.
+			r.unsure = true
 			c.settleEnd(j, r)
 		}
 	})
@@ -359,8 +389,8 @@
 			return // final, or no longer ours
 		}
 		if status == 200 {
-			// Not ended; a late copy can still end it, which does no harm. j.mark is
-			// as read.
+			// Not ended; a late copy can still end it, so that it stays unsure. j.mark
+			// is as read.
 			r.ending = false
 			r.endNext = c.now
 			c.failWaiters(j)
@@ -387,6 +417,9 @@
 		return
 	}
 	delete(c.jobs.open, id)
+	if f.state == wire.StateCancelled {
+		c.spreadCancelled(id)
+	}
 	if f.state == wire.StateDone {
 		c.noteWarm(j)
 	}
@@ -402,9 +435,7 @@
 	if f.state == wire.StateDone {
 		c.log(Info, "job done", "job", id, "class", j.sub.Class, "team", j.sub.Team, "tasks", f.tasks, "waited_s", max(r.firstRun-r.arrival, 0).Seconds(), "seconds", (c.now - r.arrival).Seconds())
 	}
-	for _, idx := range slices.Sorted(maps.Keys(r.active)) {
-		c.stop(r.active[idx], haltHard)
-	}
+	c.haltAll(j)
 	j.run = nil
 	c.own.shares[j.share].queueStale = true
 	c.dirty = true
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -251,11 +251,11 @@
 		c.answer(in.Reply, 503, nil, 0)
 		return
 	}
+	v.answered = c.now
 	if v.settled {
 		c.placeOn(s, m) // what it is to do goes into the answer, not into an order
 	}
 	commands := c.commands(m, true)
-	v.answered = c.now
 	v.reach.answered(c.token(s, m), v.token, commands)
 	c.answer(in.Reply, 200, wire.ReportAnswer{Token: c.token(s, m), Commands: commands}, 0)
 	if !v.settled {
@@ -471,7 +471,8 @@
 		}
 		j := c.jobs.open[sl.key.job]
 		if j == nil {
-			continue // the watch may yet bring it
+			c.lookUp(sl) // the watch may yet bring it
+			continue
 		}
 		if j.share != m.rec.Share || sl.idx >= j.sub.Tasks {
 			sl.job = j
@@ -517,6 +518,25 @@
 	}
 }
 
+// strayFor is how long a machine may hold a task of a job that this node does not know
+// before the job's record is read: a job that is long over may have left memory.
+const strayFor = 5 * micros.Second
+
+// lookUp reads the job of a stray attempt, one at a time; the next report of the
+// machine finds it. What nobody submitted is stopped.
+func (c *Core) lookUp(sl *slot) {
+	if c.lookingUp || sl.state == slotExited || c.now < sl.since+strayFor {
+		return
+	}
+	c.lookingUp = true
+	c.readJob(sl.key.job, func(status int) {
+		c.lookingUp = false
+		if v := sl.m.v; status == 404 && v != nil && v.slots[sl.key] == sl {
+			c.stop(sl, haltHard)
+		}
+	})
+}
+
 // readopt looks at a share's machines again once Versions are known.
 func (c *Core) readopt(s *share) {
 	for _, m := range s.machines {
@@ -647,6 +667,9 @@
 func (c *Core) houseMachines() {
 	c.orders.budget()
 	for _, s := range c.own.shares {
+		if s.active && !s.current && c.canAnswer() {
+			c.catchUp(s)
+		}
 		if c.acting(s.id) == nil {
 			continue
 		}
@@ -670,9 +693,6 @@
 			c.letMachinesGo(now, to)
 			ready = later
 		}
-		if s.active && !s.current && c.canAnswer() {
-			c.catchUp(s)
-		}
 		if s.active && !s.loaded && !s.loading && c.canAnswer() {
 			c.loadVersions(s, "", map[string]wire.VersionRecord{}, map[string]uint64{})
 		}
@@ -713,7 +733,7 @@
 	if v.takenAt != 0 {
 		c.drain(m)
 	}
-	if c.wantsOrder(v) {
+	if c.wantsOrder(m) {
 		c.queueOrder(m)
 	}
 	return c.now < v.goingTo && c.releasable(m, v.going.Retire)
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -43,10 +43,7 @@
 		if len(out) >= most {
 			return out
 		}
-		switch {
-		case sl.clearable():
-			out = append(out, wire.Command{Op: wire.OpForget, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
-		case sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited:
+		if sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited {
 			grace := &zero
 			if sl.halt == haltSave && sl.job != nil {
 				g := sl.job.sub.SaveS + 1
@@ -59,6 +56,15 @@
 			out = append(out, wire.Command{Op: wire.OpStop, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, GraceS: grace})
 		}
 	}
+	// A stop never waits behind these.
+	for _, sl := range v.list {
+		if len(out) < most && sl.clearable() {
+			out = append(out, wire.Command{Op: wire.OpForget, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
+		}
+	}
+	if !forReport && v.unclear != 0 {
+		return out
+	}
 	for _, sl := range v.list {
 		if len(out) >= most || sl.state != slotAssigned {
 			continue
@@ -75,10 +81,16 @@
 	return out
 }
 
-// wantsOrder: is there something that should not wait for the next report?
-func (c *Core) wantsOrder(v *view) bool {
+// wantsOrder: is there something that should not wait for the next report? While an
+// order is unclear, no start may follow it, but stops may, and the raised token that
+// makes it clear: a machine that can't report is reached in no other way.
+func (c *Core) wantsOrder(m *machine) bool {
+	v := m.v
+	if v.unclear != 0 && c.token(c.own.shares[m.rec.Share], m) > v.unclear && c.unheard(v) <= c.late() {
+		return true
+	}
 	for _, sl := range v.list {
-		if sl.state == slotAssigned {
+		if sl.state == slotAssigned && v.unclear == 0 {
 			return true
 		}
 		if sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited && c.now-sl.haltAt >= micros.Second &&
@@ -115,10 +127,10 @@
 			return
 		}
 		v.orderQueued = false
-		if !v.settled || v.fresh || v.gone || m.returned || v.orderBusy || v.unclear != 0 || c.outOfReach(m) || c.now < v.orderNext {
+		if !v.settled || v.fresh || v.gone || m.returned || v.orderBusy || c.outOfReach(m) || c.now < v.orderNext {
 			continue // houseMachine looks again
 		}
-		if s := c.acting(m.rec.Share); s != nil && c.wantsOrder(v) {
+		if s := c.acting(m.rec.Share); s != nil && c.wantsOrder(m) {
 			c.sendOrder(s, m, c.commands(m, false))
 		}
 	}
@@ -179,7 +191,7 @@
 			c.observe(s, m, rep, false)
 			c.placeOn(s, m)
 		}
-		if m.v == v && c.wantsOrder(v) {
+		if m.v == v && c.wantsOrder(m) {
 			c.queueOrder(m)
 		}
 	})
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -108,10 +108,12 @@
 	return r.mark != 0 && c.own.lease != 0 && r.rec.Label == c.cfg.Label && r.rec.Incarnation == c.own.lease
 }
 
-// acting gives the share if this node owns it and may command.
+// acting gives the share if this node owns it and may command. One that can't learn
+// which jobs a former owner ended lets its machines' leases run out: tasks of a
+// cancelled job may be on them.
 func (c *Core) acting(id int) *share {
 	s := c.own.shares[id]
-	if s.active && !s.handing && s.mark >= s.ceiling && c.canCommand() {
+	if s.active && !s.handing && s.mark >= s.ceiling && c.canCommand() && (s.current || c.now < s.claimedAt+c.bounds.Blind) {
 		return s
 	}
 	return nil
@@ -439,7 +441,8 @@
 		return // the listing under way comes first; houseMachines asks again
 	}
 	s.catching = true
-	c.askState(prioLease, Watch{Prefix: w.prefix, Since: w.since}, 2*micros.Second, func(r Result) {
+	// Where the state service is slow, what lets renewals through lets this through.
+	c.askState(prioLease, Watch{Prefix: w.prefix, Since: w.since}, c.cfg.Lease, func(r Result) {
 		if !s.active || s.mark != mark {
 			return
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"garnethitch/internal/micros"
 	"garnethitch/internal/peer"
 	"garnethitch/internal/wire"
@@ -21,6 +23,8 @@
 	demAt    micros.Micros
 	heard    map[string]bool // machines that tried it of late
 	gone     []string        // returned machines that it has not been told of
+	// cancelled are jobs of whose cancellation it has not been told.
+	cancelled []string
 }
 
 const statusEvery = micros.Second
@@ -28,6 +32,47 @@
 // maxGone bounds how many returned machines one message names.
 const maxGone = 500
 
+// maxCancelled bounds the cancellations that a controller out of reach is yet to be
+// told of. Past it the oldest go first: tasks of theirs are gone by then.
+const maxCancelled = 10 * maxGone
+
+// spreadCancelled tells the other controllers of a cancellation, until each has
+// acknowledged: the owner of the job may have lost the state service, and so not know
+// that its own record of it was carried out. No user's answer waits for that.
+func (c *Core) spreadCancelled(id string) {
+	f, ok := c.jobs.final(id)
+	if !ok || f.spread {
+		return
+	}
+	f.spread = true
+	c.jobs.finals[id] = f
+	for _, label := range c.cfg.Peers {
+		p := c.peers[label]
+		p.cancelled = append(p.cancelled, id)
+		if n := len(p.cancelled); n > maxCancelled {
+			p.cancelled = slices.Delete(p.cancelled, 0, n-maxCancelled)
+		}
+	}
+}
+
+// toldCancelled takes what another controller says of cancellations: they stand on
+// record, whatever the state service tells this one.
+func (c *Core) toldCancelled(p *peerView, ids []string) {
+	for _, id := range ids {
+		if !wire.ValidID(id) {
+			continue
+		}
+		f := finalJob{state: wire.StateCancelled}
+		if j := c.jobs.open[id]; j != nil {
+			f.tasks = j.sub.Tasks
+		}
+		c.finishJob(id, f)
+		if i := slices.Index(p.cancelled, id); i >= 0 {
+			p.cancelled = slices.Delete(p.cancelled, i, i+1) // it knows
+		}
+	}
+}
+
 // alive: it was heard of within the last few statuses.
 // Where this node itself was short of time, that is no sign against others.
 func (c *Core) alive(p *peerView) bool {
@@ -55,7 +100,7 @@
 // since it has its demand to tell, else the first by name.
 func (c *Core) toldEnough(p *peerView) bool {
 	leader := c.own.leader.rec.Label
-	if c.now-p.statusAt > statusEvery*6/5 || len(p.gone) > 0 || leader == p.label || leader != c.cfg.Label && c.cfg.Label < p.label {
+	if c.now-p.statusAt > statusEvery*6/5 || len(p.gone) > 0 || len(p.cancelled) > 0 || leader == p.label || leader != c.cfg.Label && c.cfg.Label < p.label {
 		return false
 	}
 	for _, s := range c.own.shares {
@@ -110,6 +155,7 @@
 	}
 	sent := st.Owns
 	st.Gone = p.gone[:min(len(p.gone), maxGone)]
+	st.Cancelled = slices.Clone(p.cancelled[:min(len(p.cancelled), maxGone)])
 	told := len(st.Gone)
 	c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Status: st}, Timeout: statusEvery}, func(r Result) {
 		p.busy = false
@@ -118,6 +164,7 @@
 			return
 		}
 		p.gone = p.gone[min(told, len(p.gone)):]
+		p.cancelled = slices.DeleteFunc(p.cancelled, func(id string) bool { return slices.Contains(st.Cancelled, id) })
 		c.noteAbout(p, &resp.Status.About)
 		for _, id := range resp.Status.Quiet {
 			for _, o := range sent {
@@ -147,6 +194,7 @@
 		for _, id := range req.Status.Gone {
 			c.machineReturned(id)
 		}
+		c.toldCancelled(p, req.Status.Cancelled)
 		resp.Status = &peer.StatusAck{About: c.about(p), Quiet: quiet}
 	case req.Ask != nil:
 		c.askedAbout(*req.Ask, func(a peer.Answer) {
@@ -157,7 +205,11 @@
 	case req.Hint != nil:
 		var rec wire.JobRecord
 		if err := wire.Decode(req.Hint.Record, &rec); err == nil && wire.ValidID(req.Hint.ID) {
-			c.learnJob(req.Hint.ID, rec, req.Hint.Mark)
+			// What the watch has passed is known or over. A copy that comes late must
+			// not bring back a job whose end is no longer in memory.
+			if req.Hint.Mark > c.own.job.since {
+				c.learnJob(req.Hint.ID, rec, req.Hint.Mark)
+			}
 			resp.OK = true
 		}
 	case req.Release != nil:
@@ -174,10 +226,14 @@
 	}
 	j := c.jobs.open[a.ID]
 	if j == nil || !c.speaksFor(j) {
+		if j != nil && a.Cancel {
+			c.heed(j)
+		}
 		if j == nil && a.Cancel && wire.ValidID(a.ID) {
 			// The watch may not have brought it yet.
 			c.readJob(a.ID, func(status int) {
-				if k := c.jobs.open[a.ID]; status == 200 && k != nil && k.run != nil {
+				_, over := c.jobs.final(a.ID)
+				if k := c.jobs.open[a.ID]; status == 200 && (over || k != nil && k.run != nil) {
 					c.askedAbout(a, done)
 					return
 				}
@@ -192,7 +248,7 @@
 		c.cancelJob(j, done)
 		return
 	}
-	if j.run.ending {
+	if j.run.ending || j.run.unsure {
 		done(peer.Answer{Status: 503})
 		return
 	}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -134,7 +134,7 @@
 func (c *Core) usable(m *machine) bool {
 	v := m.v
 	return v.settled && v.known && !v.gone && !m.returned && !v.sum.stray && !v.leaving && c.now >= v.goingTo && v.takenAt == 0 &&
-		c.now >= v.asideUntil && c.now >= v.restUntil && c.unheard(v) <= c.late() && !c.outOfReach(m) &&
+		c.now >= v.asideUntil && c.now >= v.restUntil && c.unheard(v) <= c.late() && !c.outOfReach(m) && !c.mute(v) &&
 		v.sum.tasks < maxTasksPerMachine && c.types[m.rec.Type].CPUs > 0
 }
 
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -91,6 +91,17 @@
 // session in a report, the cloud's return, or the bound since the last answer.
 func (c *Core) outOfReach(m *machine) bool { return m.v.reach.unshown >= maxUnshown }
 
+// mute: the machine answers, but no report of it has come and been answered for so
+// long that its lease is running out; answers to orders and questions do not renew
+// that. It gets no more tasks: they would end with the lease. Those it has may be
+// completed in time.
+func (c *Core) mute(v *view) bool { return v.known && c.unanswered(v) > c.silence() }
+
+// unanswered is for how long no report of a machine has been answered.
+func (c *Core) unanswered(v *view) micros.Micros {
+	return c.now - max(v.answered, v.since, c.behindAt)
+}
+
 // late is how long after its last report a machine should have reported again.
 // A report or answer may be lost, so this alone says nothing yet: the machine is
 // asked.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -64,6 +64,9 @@
 func (c *Core) tellJob(r ReplyID, id string, a peer.Answer) {
 	switch a.Status {
 	case 200, 201:
+		if a.State == wire.StateCancelled {
+			c.spreadCancelled(id)
+		}
 		body := wire.JobAnswer{ID: id, State: a.State}
 		done, running := a.Done, a.Running
 		body.Done, body.Running = &done, &running
@@ -99,7 +102,7 @@
 	}
 	s := c.own.shares[j.share]
 	if c.speaksFor(j) {
-		if j.run.ending {
+		if j.run.ending || j.run.unsure {
 			fresh()
 			return
 		}
@@ -222,6 +225,7 @@
 		c.cancelJob(j, done)
 		return
 	}
+	c.heed(j)
 	p := c.peers[s.rec.Label]
 	if s.mark == 0 || p == nil {
 		done(peer.Answer{Status: 503})
@@ -235,15 +239,24 @@
 	})
 }
 
+// heed stops the tasks of a job that its user wants cancelled, at an owner that may
+// still command but can't record or speak.
+func (c *Core) heed(j *job) {
+	if j.run != nil && c.acting(j.share) != nil {
+		c.callOff(j)
+	}
+}
+
 // submit takes a user's job.
 func (c *Core) submit(in Submit) {
 	if in.Err != nil {
-		// An accepted job never gets 400: if this one is known, say how it stands.
-		if id := in.Err.ID; id != "" && c.knows(id) {
-			c.jobState(id, func(a peer.Answer) { c.tellJob(in.Reply, id, a) })
+		// An accepted job never gets 400, whatever its repeat says now, and this node
+		// may not have heard of it yet: only a read can tell.
+		if in.Err.ID == "" {
+			c.answer(in.Reply, 400, nil, 0)
 			return
 		}
-		c.answer(in.Reply, 400, nil, 0)
+		c.turnDown(in.Reply, in.Err.ID, 400)
 		return
 	}
 	id := in.Job.ID
@@ -256,14 +269,7 @@
 		return
 	}
 	if !c.canRun(&in.Job) {
-		// A job that was accepted never gets 422 either: only a read can tell.
-		c.freshState(id, func(a peer.Answer) {
-			if a.Status == 404 {
-				c.answer(in.Reply, 422, nil, 0)
-				return
-			}
-			c.tellJob(in.Reply, id, a)
-		})
+		c.turnDown(in.Reply, id, 422)
 		return
 	}
 	if len(c.jobs.open) >= c.cfg.OpenJobs || c.stateQueued() > 40 {
@@ -275,6 +281,18 @@
 	})
 }
 
+// turnDown answers a submission that can't be taken, unless its job was accepted
+// before: then it says how that stands.
+func (c *Core) turnDown(r ReplyID, id string, status int) {
+	c.jobState(id, func(a peer.Answer) {
+		if a.Status == 404 {
+			c.answer(r, status, nil, 0)
+			return
+		}
+		c.tellJob(r, id, a)
+	})
+}
+
 func (c *Core) knows(id string) bool {
 	_, over := c.jobs.final(id)
 	return over || c.jobs.open[id] != nil
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -152,8 +152,10 @@
 	r.verBusy, r.verDirty = true, false
 	r.verNext = c.now + c.versionPace(s)
 	key := wire.VersionKey(j.id)
+	// The job's own key is among the conditions so that a copy that comes after its
+	// end leaves nothing behind.
 	txn := wire.Txn{
-		If:   []wire.Condition{{Key: ownerKey(s.id), Version: s.mark}, {Key: key, Version: r.verMark}},
+		If:   []wire.Condition{{Key: ownerKey(s.id), Version: s.mark}, {Key: key, Version: r.verMark}, {Key: wire.JobKey(j.id), Version: j.mark}},
 		Then: []wire.Change{{Put: key, Value: value}},
 	}
 	c.askState(prioVersion, txn, 2*micros.Second, func(res Result) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -44,6 +44,8 @@
 	Demand []Demand `msgpack:"d,omitempty"`
 	// Gone are machines whose return the cloud has confirmed to the sender.
 	Gone []string `msgpack:"g,omitempty"`
+	// Cancelled are jobs that the sender knows, by their record, to be cancelled.
+	Cancelled []string `msgpack:"x,omitempty"`
 }
 
 // StatusAck answers a Status. Quiet lists the shares of the Status for which
