The simulation plays meetings of troubles; a machine stood idle for ever after an outage

Found: machines that reported to a leader just as its lease was over were never homed once it led again under the same key (left waiting). Beyond its lease an owner now starts tasks only while every other controller says that it has lost the state service too.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -109,7 +109,10 @@
 	c.houseTypes()
 	f := &c.fleet
 	if !c.leading() {
+		// It may lead again under the same mark: the machines must be free to report
+		// again (one stood idle for ever after an outage, found by the simulation).
 		for _, cl := range f.callers {
+			delete(f.homing, cl.in.Report.Machine)
 			c.answer(cl.in.Reply, 503, nil, 0)
 		}
 		f.callers = nil
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -810,3 +810,28 @@
 		t.Errorf("%d Versions of a job that is over were written", n)
 	}
 }
+
+// A machine reports for the first time just as the leader's lease is over; the leader
+// leads again under the same key. The machine must find a home then.
+func TestCallerAcrossOutage(t *testing.T) {
+	h := meet(t, withPeer)
+	h.c.fleet.rented["vm-7"] = &rented{kind: kind{"m", "a", false}, at: h.now}
+	h.stateDown, h.refused = true, true
+	for h.now < h.c.own.renewed+h.c.bounds.Answer-200*ms {
+		h.run(20 * ms)
+	}
+	h.ask(func(r ReplyID) Input { return Checkin{Reply: r, Report: report("vm-7", 1, 1, 0)} })
+	h.run(2 * sec)
+	if c := h.c; c.leading() || len(c.fleet.callers) > 0 {
+		t.Fatalf("leading %v, %d callers: the case is not what it should be", c.leading(), len(c.fleet.callers))
+	}
+	h.stateDown, h.refused = false, false
+	h.run(2 * sec)
+	for seq := uint64(2); seq < 6; seq++ {
+		h.ask(func(r ReplyID) Input { return Checkin{Reply: r, Report: report("vm-7", 1, seq, 0)} })
+		h.run(sec)
+	}
+	if h.c.mach["vm-7"] == nil {
+		t.Error("never homed")
+	}
+}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -62,7 +62,7 @@
 			out = append(out, wire.Command{Op: wire.OpForget, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
 		}
 	}
-	if !forReport && v.unclear != 0 {
+	if !forReport && v.unclear != 0 || !c.mayStart() {
 		return out
 	}
 	for _, sl := range v.list {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -250,7 +250,7 @@
 // runnable: a job wants tasks started, and they may be.
 func (c *Core) runnable(s *share, j *job) bool {
 	r := j.run
-	return r != nil && r.ready && r.want == "" && j.pending() > 0 &&
+	return r != nil && r.ready && r.want == "" && j.pending() > 0 && c.mayStart() &&
 		j.knownAt <= c.own.renewed+c.bounds.Answer &&
 		// A former owner may have started its tasks on a machine unheard of.
 		(r.fresh || s.current && s.settled)
--- /dev/null
+++ b/internal/standin/meetings.go
@@ -0,0 +1,470 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+
+	"garnethitch/internal/core"
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// Meetings of two troubles: docs/meetings.md lists them. What a plan with Meet adds
+// overlaps with the troubles of single parts.
+
+// meetings is what the troubles of this file leave behind while they last.
+type meetings struct {
+	// lateShare of transactions get no answer until lateUntil: with atOnce they are
+	// carried out when they come, else 2 to 12 s later. only, if set, is the one
+	// controller that it happens to.
+	lateShare float64
+	lateUntil micros.Micros
+	atOnce    bool
+	only      *Node
+	// kept are copies of reports for the next leader or owner.
+	keepUntil micros.Micros
+	kept      []*wire.Report
+	// closeUntil and endUntil: users look closely, and call jobs off at their end.
+	closeUntil micros.Micros
+	endUntil   micros.Micros
+	// quickUntil: machines are up within two seconds.
+	quickUntil micros.Micros
+
+	Late, Kept, Mute, CalledOff, AtEnd, Looks, Odd, Gaps int
+}
+
+// lateWrite carries out a transaction without an answer, if it is one of those.
+func (s *Sim) lateWrite(n *Node, call core.Call) bool {
+	m := &s.meet
+	if _, isTxn := call.Req.(wire.Txn); !isTxn || s.now >= m.lateUntil || m.only != nil && m.only != n || !s.chance(m.lateShare) {
+		return false
+	}
+	m.Late++
+	d := micros.Micros(0)
+	if !m.atOnce {
+		d = s.span(2*sec, 12*sec)
+	}
+	s.after(d, func() { s.serve(call, func(core.Result) {}) })
+	return true
+}
+
+// keepReport keeps a copy of a report for the next leader or owner.
+func (s *Sim) keepReport(rep *wire.Report) {
+	if m := &s.meet; s.now < m.keepUntil && len(m.kept) < 400 && s.chance(0.3) {
+		m.kept = append(m.kept, rep)
+	}
+}
+
+// releaseKept delivers what was kept to every controller, just as a new leader or
+// owner begins, before and after it knows of that. Nobody hears the answers.
+func (s *Sim) releaseKept() {
+	m := &s.meet
+	kept := m.kept
+	m.kept = nil
+	for _, rep := range kept {
+		for _, n := range s.Nodes {
+			m.Kept++
+			s.after(s.span(0, 60*ms), func() { n.checkin(rep, func(core.Answer) {}) })
+		}
+	}
+}
+
+// boot is how long a rented machine takes to come up.
+func (s *Sim) boot() micros.Micros {
+	if s.now < s.meet.quickUntil {
+		return s.span(200*ms, 2*sec)
+	}
+	return s.span(sec, 10*sec)
+}
+
+// cancelNow has users call off jobs that run and have long to go, within a fifth of a
+// second; some of their machines hang for a while from then on.
+func (s *Sim) cancelNow(count int, hang micros.Micros) {
+	left := 3 * sec
+	if s.plan.Gap {
+		left = s.cfg.Cancel + 2*sec
+	}
+	var hung []string
+	for _, u := range s.users {
+		if count == 0 {
+			break
+		}
+		if !u.accepted || u.asked || u.told != "" || len(u.done) == u.sub.Tasks {
+			continue
+		}
+		running := false
+		for t, w := range s.onJob[u.sub.ID] {
+			if t.onMachine() && !w.dead && t.until > s.now+left {
+				running = true
+				hung = append(hung, w.id)
+			}
+		}
+		if running {
+			count--
+			s.meet.CalledOff++
+			s.after(s.span(0, 200*ms), u.withdraw)
+		}
+	}
+	if hang > 0 {
+		slices.Sort(hung)
+		hung = slices.Compact(hung)
+		for _, id := range hung[:min(len(hung), 8)] {
+			s.workers[id].hungUntil = s.now + hang
+		}
+	}
+}
+
+// maybeCancelAtEnd calls a job off at the moment at which its last task ends.
+func (s *Sim) maybeCancelAtEnd(u *user) {
+	if s.now < s.meet.endUntil && len(u.done) == u.sub.Tasks && !u.asked && s.chance(0.6) {
+		s.meet.AtEnd++
+		u.withdraw()
+		s.after(s.span(0, 5*ms), u.poll1)
+		s.after(s.span(0, 5*ms), u.again)
+	}
+}
+
+// poll1 asks once.
+func (u *user) poll1() { u.ask(u.node()) }
+
+// ask puts one question to a node.
+func (u *user) ask(n *Node) {
+	told := u.told
+	u.requestAt(n, func(id core.ReplyID) core.Input { return core.Poll{Reply: id, ID: u.sub.ID} }, 2*sec, func(a core.Answer, ok bool) {
+		if ok {
+			u.hear(a, told)
+		}
+	})
+}
+
+// lookClosely: right after a job was accepted, ended or confirmed as cancelled its
+// user asks all nodes again and again within milliseconds, and repeats the
+// submission; some cancel at once. No node may answer anything older.
+func (u *user) lookClosely() {
+	s := u.sim
+	if s.now >= s.meet.closeUntil {
+		return
+	}
+	for i := range 4 {
+		for _, n := range s.Nodes {
+			s.meet.Looks++
+			s.after(micros.Micros(i)*ms+s.span(0, ms), func() { u.ask(n) })
+			if i%2 == 0 {
+				s.after(micros.Micros(i)*ms+s.span(0, ms), func() { u.repeat(n) })
+			}
+		}
+	}
+	if u.told == "" && !u.asked && s.chance(0.15) {
+		s.after(s.span(0, 3*ms), u.withdraw)
+	}
+}
+
+// oddRequests: submissions that lack a field or fit no machine, repeats that are
+// malformed, cancellations of jobs that are done.
+func (s *Sim) oddRequests(d micros.Micros) {
+	until := s.now + d
+	var next func()
+	next = func() {
+		if s.now >= until || len(s.users) == 0 {
+			return
+		}
+		s.after(s.span(200*ms, 800*ms), next)
+		s.meet.Odd++
+		u := s.users[s.rng.IntN(len(s.users))]
+		n := s.Nodes[s.rng.IntN(len(s.Nodes))]
+		unknown := fmt.Sprintf("job-%06d", 700000+s.rng.IntN(1000))
+		sub, id := u.sub, unknown
+		sub.CPUs = 1000
+		lacking := s.chance(0.5)
+		repeats := u.accepted && s.chance(0.5)
+		if repeats {
+			id = u.sub.ID
+		}
+		sub.ID = id
+		told := u.told
+		u.requestAt(n, func(r core.ReplyID) core.Input {
+			if lacking {
+				return core.Submit{Reply: r, Err: &wire.SubmissionError{ID: id, Reason: "a field is missing"}}
+			}
+			return core.Submit{Reply: r, Job: sub}
+		}, 5*sec, func(a core.Answer, ok bool) {
+			switch {
+			case !ok:
+			case repeats && (a.Status == 400 || a.Status == 422 || a.Status == 404):
+				s.broken("forgotten: an odd repeat of %s got %d", id, a.Status)
+			case repeats:
+				u.hear(a, told)
+			case a.Status == 200 || a.Status == 201:
+				s.broken("accepted though it can't run: %s got %d", id, a.Status)
+			}
+		})
+		if u.told == wire.StateDone {
+			u.requestAt(n, func(r core.ReplyID) core.Input { return core.Withdraw{Reply: r, ID: u.sub.ID} }, 5*sec, func(a core.Answer, ok bool) {
+				if ok {
+					u.hear(a, wire.StateDone)
+				}
+			})
+		}
+	}
+	next()
+}
+
+// checkStarts: no start is sent once the job's user has been told that it is
+// cancelled.
+func (s *Sim) checkStarts(n *Node, commands []wire.Command) {
+	for _, c := range commands {
+		if c.Op != wire.OpStart {
+			continue
+		}
+		job, _, err := wire.ParseTask(c.Task)
+		if u := s.userOf(job); err == nil && u != nil && u.cancelTold != 0 {
+			s.broken("%s sends a start of %s %v s after its user was told that it is cancelled", n.label, c.Task, (s.now - u.cancelTold).Seconds())
+		}
+	}
+}
+
+// leftWaiting is how long, once troubles are over, a job may wait beside room.
+const leftWaiting = 90 * sec
+
+// checkWaiting: no fitting job is left waiting beside a machine that fits and has
+// room, its team under its limit.
+func (s *Sim) checkWaiting() {
+	if s.now < s.plan.Length+10*sec {
+		return
+	}
+	for _, u := range s.users {
+		if !u.accepted || u.asked || u.bad || u.told != "" {
+			continue
+		}
+		if u.waits == 0 || u.started != u.seen || !s.waitsBesideRoom(u) {
+			u.seen, u.waits = u.started, s.now
+			continue
+		}
+		if s.now-u.waits > leftWaiting {
+			s.broken("left waiting: %s (%s) for %v s beside free room, %d of %d tasks done", u.sub.ID, u.sub.Class, (s.now - u.waits).Seconds(), len(u.done), u.sub.Tasks)
+		}
+	}
+}
+
+// waitsBesideRoom: a task of the job is nowhere, and would fit now.
+func (s *Sim) waitsBesideRoom(u *user) bool {
+	placed, zones := map[int]bool{}, map[string]int{}
+	for t, w := range s.onJob[u.sub.ID] {
+		if t.state != wire.TaskExited && !w.dead {
+			placed[t.idx] = true
+			zones[w.zone]++
+		}
+	}
+	waits := 0
+	for idx := range u.sub.Tasks {
+		if !placed[idx] && !u.done[idx] {
+			waits++
+		}
+	}
+	if waits == 0 || !s.underLimit(u) {
+		return false
+	}
+	for _, name := range s.names {
+		w := s.workers[name]
+		if w.dead || w.takenAt != 0 || s.now < w.upAt+10*sec || s.now < w.hungUntil || s.now < w.sickUntil || s.now < w.deafUntil || s.now < w.muteUntil ||
+			w.spot && !u.sub.Spot || u.sub.Types != nil && !slices.Contains(u.sub.Types, w.typ) || !w.fits(u) {
+			continue
+		}
+		elsewhere := false
+		for z, n := range zones {
+			elsewhere = elsewhere || u.sub.OneZone && n > 0 && z != w.zone
+		}
+		if !elsewhere && (!u.sub.Apart || zones[w.zone]+1 <= (u.sub.Tasks+1)/2) {
+			return true
+		}
+	}
+	return false
+}
+
+// underLimit: the job's team could use one more of its tasks.
+func (s *Sim) underLimit(u *user) bool {
+	for _, team := range s.plan.Teams {
+		if team.Name != u.sub.Team || team.CPUsMax <= 0 {
+			continue
+		}
+		used := u.sub.CPUs
+		for _, o := range s.users {
+			for t, w := range s.onJob[o.sub.ID] {
+				if o.sub.Team == team.Name && t.state != wire.TaskExited && !w.dead {
+					used += o.sub.CPUs
+				}
+			}
+		}
+		return used <= team.CPUsMax+1e-6
+	}
+	return true
+}
+
+// some troubles of single machines, here for several at once.
+func (s *Sim) muteSome(part float64, d micros.Micros) {
+	for _, w := range s.some(part) {
+		w.muteUntil = s.now + d
+		s.meet.Mute++
+	}
+}
+
+func (s *Sim) deafSome(part float64, d micros.Micros) {
+	for _, w := range s.some(part) {
+		w.deafUntil = s.now + d
+		s.Deaf++
+	}
+}
+
+// owner is the controller that owns most shares and leads, as far as the state
+// service knows.
+func (s *Sim) owner() *Node {
+	holds := map[string]int{}
+	for key, e := range s.State.keys {
+		var rec wire.OwnerRecord
+		if len(key) > len(wire.PrefixControl) && (key == wire.KeyLeader || key[:min(len(key), len(wire.PrefixOwner))] == wire.PrefixOwner) && wire.Decode(e.value, &rec) == nil {
+			holds[rec.Label]++
+		}
+	}
+	best := s.Nodes[0]
+	for _, n := range s.Nodes {
+		if holds[n.label] > holds[best.label] {
+			best = n
+		}
+	}
+	return best
+}
+
+func (s *Sim) lateWrites(share float64, atOnce bool, d micros.Micros) {
+	m := &s.meet
+	m.lateShare, m.atOnce, m.lateUntil, m.only = share, atOnce, s.now+d, nil
+}
+
+// scheduleMeetings lets meetings of troubles happen one after the other, in an order
+// that the seed draws.
+func (s *Sim) scheduleMeetings() {
+	m := &s.meet
+	lease := s.cfg.WorkerLease
+	all := func(down micros.Micros) {
+		for _, n := range s.Nodes {
+			n.crash(s.span(20*ms, down))
+		}
+	}
+	peersOf := func(n *Node) (links []string) {
+		for _, o := range s.Nodes {
+			if o != n {
+				links = append(links, n.peerLink(o.label))
+			}
+		}
+		return links
+	}
+	list := []func(){
+		// A report is held back until a new leader has acted; an old one reaches every
+		// controller just as it begins; copies come after newer ones.
+		func() {
+			m.keepUntil = s.now + 20*sec
+			s.copiesUntil = s.now + 30*sec
+			s.after(s.span(2*sec, 18*sec), func() { s.owner().crash(s.span(20*ms, 5*sec)) })
+		},
+		// Jobs are cancelled in the seconds in which work changes hands.
+		func() {
+			s.owner().crash(s.span(20*ms, 6*sec))
+			for range 4 {
+				s.after(s.span(0, 6*sec), func() { s.cancelNow(2, s.span(0, lease)) })
+			}
+		},
+		// All controllers are away for longer than a lease.
+		func() {
+			s.cancelNow(3, 0)
+			for _, n := range s.Nodes {
+				n.crash(lease + s.span(0, 4*sec))
+			}
+		},
+		// Workers reach no controller, while orders reach them; a leader changes.
+		func() {
+			s.muteSome(0.5, s.span(lease/2, 2*lease))
+			s.after(s.span(0, lease), func() { s.owner().crash(s.span(20*ms, 4*sec)) })
+		},
+		// New machines are up at once while writes lag, and the leader ends.
+		func() {
+			m.quickUntil = s.now + 30*sec
+			s.lateWrites(0.5, s.chance(0.5), 20*sec)
+			s.massDeath(0.3)
+			s.after(s.span(2*sec, 15*sec), func() { s.owner().crash(s.span(20*ms, 4*sec)) })
+		},
+		// The state service refuses the leader alone and then everybody for longer than
+		// a cancellation has, while users cancel and ask.
+		func() {
+			s.State.refuse[s.owner().label] = s.now + s.span(2*sec, 8*sec)
+			s.cancelNow(3, 0)
+			s.after(s.span(sec, 5*sec), func() {
+				s.State.downUntil = s.now + s.cfg.Cancel + 5*sec
+				s.cancelNow(2, 0)
+			})
+		},
+		// Hand-overs back and forth, also within a second, and all end.
+		func() {
+			for i := range 10 {
+				s.after(micros.Micros(i)*3*sec, func() { s.owner().crash(s.span(20*ms, sec)) })
+			}
+			s.after(s.span(5*sec, 25*sec), func() { all(500 * ms) })
+			s.after(s.span(5*sec, 25*sec), func() { s.State.downUntil = s.now + s.span(sec, 6*sec) })
+			s.after(s.span(5*sec, 25*sec), func() { s.cancelNow(2, 0) })
+		},
+		// A leader ends while machines can't be reached, or don't hear the new one's answer.
+		func() {
+			s.deafSome(0.4, s.span(lease/2, lease+5*sec))
+			s.after(s.span(0, 4*sec), func() { s.owner().crash(s.span(20*ms, 5*sec)) })
+		},
+		// Transactions are carried out late, or at once with their answers lost.
+		func() { s.lateWrites(0.5, false, 25*sec) },
+		func() { s.lateWrites(0.5, true, 25*sec) },
+		// A leader keeps its workers and users only; jobs are cancelled through another.
+		func() {
+			n := s.owner()
+			s.cut(append(peersOf(n), n.label+"-state"), cutReset, s.span(lease, 2*lease))
+			for range 3 {
+				s.after(s.span(0, lease), func() { s.cancelNow(2, 0) })
+			}
+		},
+		// Teams at their limits, cancelled jobs whose machines hang or are cut off, and
+		// a leader that changes.
+		func() {
+			s.cancelNow(6, s.span(lease/2, lease+4*sec))
+			s.massHang(0.2, s.span(sec, lease))
+			s.after(s.span(0, 3*sec), func() { s.owner().crash(s.span(20*ms, 5*sec)) })
+		},
+		func() { m.endUntil = s.now + 30*sec },
+		func() { s.oddRequests(40 * sec) },
+		func() { m.closeUntil = s.now + 40*sec },
+	}
+	s.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for i, f := range list[:9] {
+		s.after(s.span(5*sec, 9*sec)+micros.Micros(i)*(s.plan.Length-10*sec)/9, f)
+	}
+}
+
+// scheduleGap plays the gap twice. What the owner writes is carried out, but its
+// answers are lost and its watches bring nothing; a moment later it is refused; then
+// the state service is away for all for longer than cancelled tasks may last.
+func (s *Sim) scheduleGap() {
+	play := func() {
+		n := s.owner()
+		s.meet.Gaps++
+		s.meet.lateShare, s.meet.atOnce, s.meet.lateUntil, s.meet.only = 1, true, s.now+600*ms, n
+		s.State.mutedWatch[n.label] = s.now + 10*sec
+		s.after(600*ms, func() { s.State.refuse[n.label] = s.now + s.span(3*sec, 8*sec) })
+		s.cancelNow(6, 0)
+		s.after(s.span(1500*ms, 2500*ms), func() { s.State.downUntil = s.now + s.cfg.Cancel + 6*sec })
+		if s.chance(0.4) { // and it can't hear the others either
+			var links []string
+			for _, o := range s.Nodes {
+				if o != n {
+					links = append(links, n.peerLink(o.label))
+				}
+			}
+			s.after(600*ms, func() { s.cut(links, cutReset, s.cfg.Cancel) })
+		}
+	}
+	s.after(s.span(15*sec, 25*sec), play)
+	s.after(s.plan.Length*2/3, play)
+}
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -44,6 +44,8 @@
 	waiters   []*waiter
 	downUntil micros.Micros
 	refuse    map[string]micros.Micros
+	// mutedWatch: until then a controller's watches bring nothing.
+	mutedWatch map[string]micros.Micros
 }
 
 type entry struct {
@@ -63,7 +65,7 @@
 }
 
 func newState(s *Sim) *State {
-	st := &State{sim: s, keys: map[string]*entry{}, leases: map[uint64]*lease{}, refuse: map[string]micros.Micros{}}
+	st := &State{sim: s, keys: map[string]*entry{}, leases: map[uint64]*lease{}, refuse: map[string]micros.Micros{}, mutedWatch: map[string]micros.Micros{}}
 	s.after(50*ms, st.expire)
 	return st
 }
@@ -212,6 +214,9 @@
 	}
 	st.rev++
 	for _, c := range t.Then {
+		if strings.HasPrefix(c.Put, wire.PrefixOwner) || c.Put == wire.KeyLeader {
+			st.sim.releaseKept()
+		}
 		if c.Put != "" {
 			if len(c.Value) > st.sim.cfg.ValueBytes {
 				st.sim.broken("value of %s has %d bytes", c.Put, len(c.Value))
@@ -316,7 +321,7 @@
 				}
 			}
 			for len(names) < r.Count && up < c.sim.plan.Machines {
-				names = append(names, c.add(kind{r.Type, r.Zone, r.Spot}, c.sim.span(sec, 10*sec)))
+				names = append(names, c.add(kind{r.Type, r.Zone, r.Spot}, c.sim.boot()))
 				up++
 			}
 			if len(names) == 0 {
@@ -329,7 +334,7 @@
 	case core.ReturnMachines:
 		for _, id := range r.Machines {
 			if w := c.sim.workers[id]; w != nil {
-				if !c.sim.plan.Faults && !c.sim.plan.Fleet && !w.dead && c.sim.atWork(w) {
+				if !c.sim.plan.Faults && !c.sim.plan.Fleet && !c.sim.plan.Meet && !c.sim.plan.Gap && !w.dead && c.sim.atWork(w) {
 					c.sim.Wasted++
 					c.sim.trace("%s returned with work on it", id)
 				}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -38,6 +38,12 @@
 	// Slow is how long a step takes, for a while, on one controller and then on all:
 	// it is short of time, and what comes in waits in line.
 	Slow micros.Micros
+	// Meet adds the meetings of two troubles, and users who look closely; see
+	// meetings.go. Gap plays the gap: one controller loses the state service with the
+	// answers of what it wrote, then all lose it for longer than a cancellation has.
+	Meet, Gap bool
+	// Churn makes every job one task, four of them a second, a quarter cancelled.
+	Churn bool
 	// Length is how long faults and submissions go on; after that all is well
 	// and every job must come to its end within Rest.
 	Length, Rest micros.Micros
@@ -80,6 +86,7 @@
 	// copiesUntil: until then many reports are copied.
 	copiesUntil micros.Micros
 	knownAt     micros.Micros // when checkKnown looks next
+	meet        meetings
 }
 
 type cutMode int
@@ -129,6 +136,9 @@
 		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, BeginWithin: 60 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
 		Urgent: map[string]micros.Micros{"rush": 3 * sec},
 	}
+	if p.Gap {
+		s.cfg.Lease = 6 * sec // twice the margin of the bounds, which must not hide what they leave out
+	}
 	return s
 }
 
@@ -152,7 +162,11 @@
 		u := newUser(s, i)
 		s.users = append(s.users, u)
 		s.byJob[u.sub.ID] = u
-		s.after(s.span(0, p.Length*3/4), u.submit)
+		at := s.span(0, p.Length*3/4)
+		if p.Churn {
+			at = 5*sec + micros.Micros(i)*250*ms
+		}
+		s.after(at, u.submit)
 	}
 	s.markLargest()
 	if p.Faults {
@@ -164,6 +178,12 @@
 	if p.Slow > 0 {
 		s.scheduleSlowness()
 	}
+	if p.Meet {
+		s.scheduleMeetings()
+	}
+	if p.Gap {
+		s.scheduleGap()
+	}
 	return s
 }
 
@@ -177,6 +197,7 @@
 		if s.now >= s.knownAt {
 			s.knownAt = s.now + 5*sec
 			s.checkKnown()
+			s.checkWaiting()
 		}
 		if s.now > s.plan.Length+10*sec && s.allOver() {
 			s.checkServed()
@@ -222,6 +243,11 @@
 	if s.plan.Fleet {
 		within *= 2
 	}
+	if s.plan.Meet || s.plan.Gap {
+		// Tasks last up to a minute there, not 12 s, and the last trouble may end a
+		// cancellation's time after Length.
+		within += s.cfg.Cancel + micros.Minute
+	}
 	type count struct{ all, served int }
 	groups := map[string]*count{}
 	for _, u := range s.users {
@@ -445,11 +471,17 @@
 	for _, e := range n.core.Step(at, in) {
 		switch e := e.(type) {
 		case core.Answer:
+			if a, ok := e.Body.(wire.ReportAnswer); ok {
+				n.sim.checkStarts(n, a.Commands)
+			}
 			if f := n.answer[e.Reply]; f != nil {
 				delete(n.answer, e.Reply)
 				f(e)
 			}
 		case core.Call:
+			if o, ok := e.Req.(wire.Orders); ok {
+				n.sim.checkStarts(n, o.Commands)
+			}
 			n.call(e)
 		case core.Log:
 			n.sim.trace("%s %s %v", n.label, e.Text, e.Args)
@@ -508,6 +540,12 @@
 				}
 				return
 			}
+			if call.To == core.ToState && n.sim.lateWrite(n, call) {
+				return
+			}
+			if _, isWatch := call.Req.(core.Watch); isWatch && n.sim.now < n.sim.State.mutedWatch[n.label] {
+				return // what it would bring is lost on the way
+			}
 			n.sim.serve(call, reply)
 		},
 		func(r core.Result, ok bool) {
@@ -567,6 +605,9 @@
 // starting checks the rules at the moment when a task has its image.
 func (s *Sim) starting(w *Worker, t *task) {
 	s.Started++
+	if u := s.userOf(t.job); u != nil {
+		u.started++
+	}
 	s.trace("start %s attempt %x on %s session %d", t.name, t.attempt, w.id, w.session)
 	u := s.userOf(t.job)
 	if u == nil {
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -65,6 +65,15 @@
 		{"slow, teams parted", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Slow: 30 * ms}, 4},
 		{"ten times too slow, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 8, Jobs: 20, Slow: 300 * ms}, 4},
 		{"ten times too slow, teams parted", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Slow: 300 * ms}, 4},
+		// Meetings of two troubles.
+		{"the gap, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Gap: true}, 6},
+		{"the gap, teams parted", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Gap: true}, 6},
+		{"meetings, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true}, 16},
+		{"meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true}, 16},
+		{"meetings and troubles, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Faults: true}, 8},
+		{"meetings and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Faults: true}, 8},
+		{"churn, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true}, 2},
+		{"churn and meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true, Meet: true}, 3},
 		{"ten times too slow, troubles", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Faults: true, Slow: 300 * ms}, 6},
 	} {
 		for seed := range seeds(r.seeds) {
@@ -108,3 +117,31 @@
 		t.Errorf("two runs of one seed differ:\n%s\n%s", a, b)
 	}
 }
+
+// TestMeetingsHappen: what a plan of meetings is made of does take place.
+func TestMeetingsHappen(t *testing.T) {
+	var sum meetings
+	for seed := range uint64(8) {
+		p := Plan{Seed: seed + 1, Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Teams: fourTeam, Length: 90 * sec, Rest: 300 * sec}
+		if seed%4 == 3 {
+			p.Meet, p.Gap = false, true
+		}
+		s := New(p)
+		s.Run()
+		m := s.meet
+		for _, n := range []struct{ sum, of *int }{
+			{&sum.Late, &m.Late}, {&sum.Kept, &m.Kept}, {&sum.Mute, &m.Mute}, {&sum.CalledOff, &m.CalledOff},
+			{&sum.AtEnd, &m.AtEnd}, {&sum.Looks, &m.Looks}, {&sum.Odd, &m.Odd}, {&sum.Gaps, &m.Gaps},
+		} {
+			*n.sum += *n.of
+		}
+	}
+	for name, n := range map[string]int{
+		"writes without an answer": sum.Late, "kept reports": sum.Kept, "mute machines": sum.Mute, "jobs called off": sum.CalledOff,
+		"jobs called off at their end": sum.AtEnd, "close looks": sum.Looks, "odd requests": sum.Odd, "gaps": sum.Gaps,
+	} {
+		if n == 0 {
+			t.Errorf("no %s in eight runs", name)
+		}
+	}
+}
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -30,6 +30,12 @@
 	startedAt  micros.Micros // when its first task began
 	doneAt     micros.Micros // when a task of it was last completed
 	tries      int
+	odd        bool // looks closely, and asks what makes no sense
+	// waits is when a task of it was first seen waiting beside free room, without a
+	// start since; started counts starts.
+	waits   micros.Micros
+	started int
+	seen    int
 }
 
 func newUser(s *Sim, i int) *user {
@@ -65,12 +71,26 @@
 	if r.IntN(12) == 0 {
 		u.bad, u.cancels = true, true
 	}
+	if s.plan.Churn {
+		u.sub.Tasks, u.sub.CPUs, u.sub.OneZone, u.sub.Apart = 1, 1, false, false
+		u.bad, u.cancels = false, i%4 == 0
+	}
 	longest := 12 * sec
 	if u.cancels {
 		longest = micros.Minute // or it would be over before its cancellation has to be
 	}
+	if (s.plan.Meet || s.plan.Gap) && !s.plan.Churn && r.IntN(3) == 0 {
+		longest = 50 * sec // a few tasks that end far apart, and jobs to call off
+		u.sub.Tasks = min(u.sub.Tasks, 3)
+	}
+	shortest := 2 * sec
+	if s.plan.Gap && r.IntN(2) == 0 {
+		shortest, longest = s.cfg.Cancel+15*sec, s.cfg.Cancel+40*sec // so that a task left alone outlasts its cancellation
+		u.bad, u.cancels = false, false
+		u.sub.Tasks, u.sub.CPUs, u.sub.EstimateS = min(u.sub.Tasks, 2), 1, s.cfg.Cancel.Seconds()
+	}
 	for range u.sub.Tasks {
-		u.runs = append(u.runs, s.span(2*sec, longest))
+		u.runs = append(u.runs, s.span(shortest, longest))
 	}
 	u.progress = make([]micros.Micros, u.sub.Tasks)
 	return u
@@ -80,7 +100,10 @@
 func (u *user) node() *Node { return u.sim.Nodes[u.sim.rng.IntN(len(u.sim.Nodes))] }
 
 func (u *user) request(make func(core.ReplyID) core.Input, timeout micros.Micros, done func(core.Answer, bool)) {
-	n := u.node()
+	u.requestAt(u.node(), make, timeout, done)
+}
+
+func (u *user) requestAt(n *Node, make func(core.ReplyID) core.Input, timeout micros.Micros, done func(core.Answer, bool)) {
 	exchange(u.sim, "user-"+n.label, timeout, func(reply func(core.Answer)) { n.ask(make, reply) }, done)
 }
 
@@ -94,6 +117,7 @@
 		case ok && (a.Status == 201 || a.Status == 200):
 			u.accepted, u.acceptedAt, u.answeredAt = true, s.now, s.now
 			u.hear(a, told)
+			u.lookClosely()
 			s.after(s.span(sec, 3*sec), u.poll)
 			if u.cancels {
 				s.after(s.span(sec/10, 25*sec), u.withdraw)
@@ -111,10 +135,19 @@
 
 // again repeats the submission of an accepted job.
 func (u *user) again() {
-	u.request(func(id core.ReplyID) core.Input { return core.Submit{Reply: id, Job: u.sub} }, 5*sec, func(a core.Answer, ok bool) {
+	u.repeat(u.node())
+}
+
+// repeat sends the submission again to a node.
+func (u *user) repeat(n *Node) {
+	told := u.told
+	u.requestAt(n, func(id core.ReplyID) core.Input { return core.Submit{Reply: id, Job: u.sub} }, 5*sec, func(a core.Answer, ok bool) {
 		if ok && (a.Status == 400 || a.Status == 422 || a.Status == 404) {
 			u.sim.broken("forgotten: a repeated submission of %s got %d", u.sub.ID, a.Status)
 		}
+		if ok {
+			u.hear(a, told)
+		}
 	})
 }
 
@@ -172,6 +205,12 @@
 		return
 	}
 	u.answeredAt = s.now
+	before := u.told
+	defer func() {
+		if u.told != before {
+			u.lookClosely()
+		}
+	}()
 	if told != "" && body.State != told {
 		s.broken("went_back: %s was %s and is now %s", u.sub.ID, told, body.State)
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -25,6 +25,7 @@
 	hungUntil micros.Micros
 	sickUntil micros.Micros
 	deafUntil micros.Micros // until then nothing that is sent to it arrives
+	muteUntil micros.Micros // until then it reaches no controller
 
 	session, seq, token uint64
 	began               micros.Micros // of the session, or when the last answered report was sent
@@ -137,6 +138,7 @@
 				u.done[t.idx] = true
 				u.doneAt = s.now
 				s.Finished++
+				s.maybeCancelAtEnd(u)
 			}
 			w.changed = true
 		case wire.TaskSaving:
@@ -194,6 +196,10 @@
 	rep, sent, session := w.reportBody(), w.clock(), w.session
 	n := s.Nodes[w.node]
 	w.copyLater(rep)
+	if s.now < w.muteUntil {
+		s.after(300*ms, func() { w.busy = false; w.answered(core.Answer{}, false, sent, session) })
+		return
+	}
 	exchange(s, n.label+"-"+w.id, 4*sec,
 		func(reply func(core.Answer)) {
 			n.checkin(rep, func(a core.Answer) {
@@ -219,6 +225,7 @@
 // well over a lease later. Nobody hears the answer.
 func (w *Worker) copyLater(rep *wire.Report) {
 	s := w.sim
+	s.keepReport(rep)
 	if !s.plan.Faults || !s.chance(0.01) && !(s.now < s.copiesUntil && s.chance(0.5)) {
 		return
 	}
