--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -835,3 +835,46 @@
 		t.Error("never homed")
 	}
 }
+
+// Beyond its lease an owner starts tasks only while every other controller says that
+// it has lost the state service too: else a successor may have told a user of a
+// cancellation.
+func TestStartsBeyondTheLease(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		stateOK bool // the other says
+		silent  bool // nothing is heard of the other
+		want    int
+	}{
+		{"all share the outage", false, false, 1},
+		{"the other has the state service", true, false, 0},
+		{"the other is not heard", false, true, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, withPeer)
+			token := h.settle("vm-1")
+			h.submit(jobOf("job-000001", 8)) // four fit
+			h.dropCalls()
+			_, body := h.checkin(report("vm-1", 1, 10, token))
+			first := starts(body.Commands)
+			h.stateDown, h.peersDown = true, true
+			var list []wire.TaskReport
+			for i, c := range first {
+				if i > 0 {
+					list = append(list, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+				}
+			}
+			for seq := uint64(11); h.now < h.c.own.renewed+h.c.bounds.Answer+sec; seq++ {
+				h.run(sec / 2)
+				if !tc.silent {
+					h.step(PeerMessage{Reply: ReplyID(9000 + seq), Req: peer.Request{From: "n-1", Status: &peer.Status{About: peer.About{StateOK: tc.stateOK}}}})
+				}
+				h.checkin(report("vm-1", 1, seq, token, append([]wire.TaskReport{{Task: first[0].Task, Attempt: first[0].Attempt, State: wire.TaskRunning}}, list...)...))
+			}
+			_, body = h.checkin(report("vm-1", 1, 1000, token, append([]wire.TaskReport{{Task: first[0].Task, Attempt: first[0].Attempt, State: wire.TaskExited, Why: wire.WhyDone}}, list...)...))
+			if n := len(starts(body.Commands)); n != tc.want {
+				t.Errorf("%d starts beyond the lease, want %d", n, tc.want)
+			}
+		})
+	}
+}
