--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,6 +84,34 @@
 	WriteRPS float64 `toml:"write_rps"`
 	ValueKB  float64 `toml:"value_kb"`
 	TxnOps   int     `toml:"txn_ops"`
+	// Next are the limits that will hold from some moment on, without notice. A field
+	// that is missing stays as it is.
+	Next *NextLimits `toml:"next"`
+}
+
+// NextLimits are limits to come; 0: not told.
+type NextLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Lowest gives the limits that are kept to from the start: the smaller of today's and
+// those to come, since nothing tells when these begin, and what was written larger
+// could not be rewritten.
+func (l StateLimits) Lowest() StateLimits {
+	if n := l.Next; n != nil {
+		lower := func(now, next float64) float64 {
+			if next > 0 {
+				return min(now, next)
+			}
+			return now
+		}
+		l.RPS, l.WriteRPS, l.ValueKB = lower(l.RPS, n.RPS), lower(l.WriteRPS, n.WriteRPS), lower(l.ValueKB, n.ValueKB)
+		l.TxnOps = int(lower(float64(l.TxnOps), float64(n.TxnOps)))
+	}
+	return l
 }
 
 // CloudLimits bound our use of the cloud.
@@ -275,6 +303,12 @@
 	c.positive("cluster.state.write_rps", cl.State.WriteRPS)
 	c.positive("cluster.state.value_kb", cl.State.ValueKB)
 	c.want(cl.State.TxnOps >= 2, "cluster.state.txn_ops", cl.State.TxnOps, "at least 2")
+	if n := cl.State.Next; n != nil {
+		c.amount("cluster.state.next.rps", n.RPS)
+		c.amount("cluster.state.next.write_rps", n.WriteRPS)
+		c.amount("cluster.state.next.value_kb", n.ValueKB)
+		c.want(n.TxnOps == 0 || n.TxnOps >= 2, "cluster.state.next.txn_ops", n.TxnOps, "at least 2")
+	}
 	c.positive("cluster.cloud.rps", cl.Cloud.RPS)
 	c.amount("cluster.cloud.list_lag_s", cl.Cloud.ListLagS)
 	// Less than this serves nobody: a start alone would take minutes, or not fit.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -111,3 +111,41 @@
 		})
 	}
 }
+
+// Limits to come count from the start where they are lower; a missing field, or none
+// at all, leaves things as they are.
+func TestLimitsToCome(t *testing.T) {
+	today := StateLimits{RPS: 150, WriteRPS: 25, ValueKB: 8, TxnOps: 8}
+	for _, tc := range []struct {
+		name, next string
+		want       StateLimits
+		bad        string
+	}{
+		{"none", "", today, ""},
+		{"empty", "[cluster.state.next]", today, ""},
+		{"all", "[cluster.state.next]\nrps = 100.0\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4", StateLimits{RPS: 100, WriteRPS: 18, ValueKB: 2, TxnOps: 4}, ""},
+		{"a part", "[cluster.state.next]\nvalue_kb = 2.0", StateLimits{RPS: 150, WriteRPS: 25, ValueKB: 2, TxnOps: 8}, ""},
+		{"higher ones", "[cluster.state.next]\nvalue_kb = 64.0\ntxn_ops = 100", today, ""},
+		{"unknown fields", "[cluster.state.next]\ncolour = 1\ntxn_ops = 4", StateLimits{RPS: 150, WriteRPS: 25, ValueKB: 8, TxnOps: 4}, ""},
+		{"negative", "[cluster.state.next]\nvalue_kb = -1.0", today, "cluster.state.next.value_kb"},
+		{"too few", "[cluster.state.next]\ntxn_ops = 1", today, "cluster.state.next.txn_ops"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, err := ParseSettings("x.toml", []byte(strings.Replace(settings, "[cluster.cloud]", tc.next+"\n[cluster.cloud]", 1)))
+			if tc.bad != "" {
+				if err == nil || !strings.Contains(err.Error(), tc.bad) {
+					t.Errorf("error %v, want %s", err, tc.bad)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := s.Cluster.State.Lowest()
+			got.Next = nil
+			if got != tc.want {
+				t.Errorf("%+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -67,6 +67,13 @@
 			c.fillMachine(m, id, rec.Kinds[e.Kind], e)
 		case m.batch.mark > mark:
 			continue // moved on since
+		case m.rec.Share == id:
+			// A batch that had grown too large for the limits was split: the machine stays
+			// where it is, with what is on it, under a higher token.
+			from := m.batch
+			from.list = slices.DeleteFunc(from.list, func(o *machine) bool { return o == m })
+			m.batch = b
+			c.fillMachine(m, id, rec.Kinds[e.Kind], e)
 		default:
 			// In from another batch. It was idle, or it would not have moved.
 			from := m.batch
@@ -97,12 +104,25 @@
 	}
 	for _, m := range old {
 		if m.batch == b && !slices.Contains(b.list, m) {
-			c.dropMachine(m)
+			c.unlisted = append(c.unlisted, m)
 		}
 	}
 	c.dirty = true
 }
 
+// dropUnlistedMachines takes notice of machines that stand in no batch any more, once
+// all that one transaction changed is known: what left one batch may have come into
+// another, in whatever order that is told.
+func (c *Core) dropUnlistedMachines() {
+	list := c.unlisted
+	c.unlisted = nil
+	for _, m := range list {
+		if c.mach[m.id] == m && !slices.Contains(m.batch.list, m) {
+			c.dropMachine(m)
+		}
+	}
+}
+
 // fillMachine takes what a record says of a machine.
 func (c *Core) fillMachine(m *machine, share int, k wire.MachineKind, e wire.BatchMachine) {
 	m.rec.Share, m.rec.Retiring = share, e.Retiring
@@ -143,11 +163,8 @@
 // dropBatch takes notice that a batch's record was deleted.
 func (c *Core) dropBatch(b *batch) {
 	delete(c.batches, b.key)
-	for _, m := range b.list {
-		if m.batch == b {
-			c.dropMachine(m)
-		}
-	}
+	c.unlisted = append(c.unlisted, b.list...)
+	b.list = nil
 }
 
 // Names of batches say how they came about; each holds the mark of the key that
@@ -228,7 +245,7 @@
 			continue
 		}
 		value, err := wire.Encode(p.rec)
-		if err != nil || len(value) > c.cfg.ValueBytes {
+		if err != nil || !c.storable(value) {
 			c.log(Error, "batch of machines not encoded", "batch", p.key, "bytes", len(value), "error", err)
 			for _, q := range parts {
 				if q.b != nil {
@@ -262,6 +279,7 @@
 				c.setBatch(p.key, p.rec, body.Revision)
 			}
 		}
+		c.dropUnlistedMachines()
 		done(true, false)
 	})
 }
@@ -273,6 +291,10 @@
 	if b.busy || c.now < b.next {
 		return
 	}
+	if c.oversize(b) {
+		c.split(s, b) // which raises as well
+		return
+	}
 	c.writeBatches(ownerKey(s.id), s.mark, []rewrite{{key: b.key, b: b, rec: recordOf(b.list, nil, nil)}}, func(ok, _ bool) {
 		if !ok {
 			return
@@ -285,6 +307,46 @@
 	})
 }
 
+// oversize: the batch was written by a version that kept to larger limits. As it
+// stands it is read; to be rewritten it must be split.
+func (c *Core) oversize(b *batch) bool { return len(b.list) > c.batchLimit() }
+
+// split parts a batch of a share of this node into several, in one transaction.
+func (c *Core) split(s *share, b *batch) {
+	if b.busy || c.now < b.next {
+		return
+	}
+	b.next = c.now + 5*micros.Second // also where it can't be done
+	var parts []rewrite
+	for chunk := range slices.Chunk(slices.Clone(b.list), c.batchLimit()) {
+		part := rewrite{key: b.key, b: b, rec: recordOf(chunk, nil, nil)}
+		if len(parts) > 0 {
+			part.key, part.b = wire.BatchKey(s.id, c.batchName(batchMoved, s.mark)), nil
+		}
+		parts = append(parts, part)
+	}
+	if len(parts) > c.cfg.TxnOps {
+		c.log(Error, "batch of machines can't be split in one transaction, it stays as it is", "batch", b.key, "machines", len(b.list), "parts", len(parts))
+		return
+	}
+	c.log(Info, "batch of machines split for smaller limits", "batch", b.key, "machines", len(b.list), "parts", len(parts))
+	c.writeBatches(ownerKey(s.id), s.mark, parts, func(bool, bool) {}) // the watch shows it if it was applied
+}
+
+// splitOne splits a batch that is too large, one at a time: all in it report anew.
+func (c *Core) splitOne(s *share) {
+	if c.now < c.splitAt || !c.canAnswer() {
+		return
+	}
+	c.splitAt = c.now + 2*micros.Second
+	for _, m := range s.machines {
+		if b := m.batch; c.oversize(b) && !b.busy && c.now >= b.next {
+			c.split(s, b)
+			return
+		}
+	}
+}
+
 // release lets machines go, at the leader's request: at once those that are
 // idle, others when they are empty, if they may be drained.
 func (c *Core) release(r peer.Release) bool {
@@ -320,7 +382,7 @@
 func (c *Core) releasable(m *machine, retire bool) bool {
 	v := m.v
 	return !v.leaving && !v.orderBusy && v.unclear == 0 && (v.settled || v.gone) && v.empty() &&
-		(retire || !v.gone && v.known) && !m.batch.busy && c.now >= m.batch.next
+		(retire || !v.gone && v.known) && !c.oversize(m.batch) && !m.batch.busy && c.now >= m.batch.next
 }
 
 // letMachinesGo writes the records by which machines move or retire, as many in
--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -24,9 +24,9 @@
 	return c.cfg.BeginWithin > 0 && j.run != nil && j.run.count == 0 && c.waited(j) > c.cfg.BeginWithin
 }
 
-// waited is how long ago a job was accepted.
+// waited is how long a job could have run.
 func (c *Core) waited(j *job) micros.Micros {
-	return c.wall - micros.Micros(j.rec.AcceptedMS)*micros.Millisecond
+	return c.wall - micros.Micros(j.since())*micros.Millisecond
 }
 
 // onlyStart: the attempt is all that an overdue job has got, and is not to be
--- /dev/null
+++ b/internal/core/compat_test.go
@@ -0,0 +1,210 @@
+package core
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// What the version in production writes, read by this one, and the reverse. The
+// samples were written by that version; see testdata/production.
+
+func productionSamples(t *testing.T) map[string]map[string][]byte {
+	text, err := os.ReadFile("testdata/production/samples.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var in map[string]map[string]string
+	if err := json.Unmarshal(text, &in); err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]map[string][]byte{}
+	for kind, list := range in {
+		out[kind] = map[string][]byte{}
+		for name, s := range list {
+			b, err := hex.DecodeString(s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out[kind][name] = b
+		}
+	}
+	return out
+}
+
+// The version in production's own types of what has changed since.
+type (
+	oldSubmission struct {
+		ID          string   `cbor:"nameId"`
+		Class       string   `cbor:"herd"`
+		Team        string   `cbor:"crew"`
+		Kind        string   `cbor:"gait"`
+		Priority    string   `cbor:"rank"`
+		Tasks       int      `cbor:"loads"`
+		CPUs        float64  `cbor:"cpus"`
+		GPUs        float64  `cbor:"gpus"`
+		MemGB       float64  `cbor:"memGb"`
+		Image       string   `cbor:"tack"`
+		ImageGB     float64  `cbor:"sizeGb"`
+		Types       []string `cbor:"breeds"`
+		Zone        string   `cbor:"paddock,omitempty"`
+		OneZone     bool     `cbor:"oneZone"`
+		Apart       bool     `cbor:"apart"`
+		Spot        bool     `cbor:"strays"`
+		EstimateS   float64  `cbor:"haulS"`
+		CheckpointS float64  `cbor:"restS"`
+		SaveS       float64  `cbor:"stowS"`
+		DeadlineS   *float64 `cbor:"dueS"`
+	}
+	oldJobRecord struct {
+		Submission *oldSubmission `cbor:"sub,omitempty"`
+		AcceptedMS int64          `cbor:"at"`
+		State      string         `cbor:"state"`
+		Tasks      int            `cbor:"tasks"`
+	}
+)
+
+// Every record and message of the version in production is read whole: written again
+// by this version it is the same, byte for byte.
+func TestProductionIsRead(t *testing.T) {
+	samples := productionSamples(t)
+	for name, into := range map[string]any{
+		"owner": &wire.OwnerRecord{}, "types": &wire.MachineTypes{}, "batch": &wire.BatchRecord{},
+		"job pending": &wire.JobRecord{}, "job pending plain": &wire.JobRecord{}, "job done": &wire.JobRecord{}, "job cancelled": &wire.JobRecord{},
+		"version ranges": &wire.VersionRecord{}, "version set": &wire.VersionRecord{},
+	} {
+		b := samples["records"][name]
+		if err := wire.Decode(b, into); err != nil || len(b) == 0 {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if again, err := wire.Encode(into); err != nil || string(again) != string(b) {
+			t.Errorf("%s: written again as %x, %v; was %x", name, again, err, b)
+		}
+		delete(samples["records"], name)
+	}
+	for name, into := range map[string]any{
+		"status": &peer.Request{}, "status plain": &peer.Request{}, "ask": &peer.Request{}, "ask cancel": &peer.Request{}, "hint": &peer.Request{}, "release": &peer.Request{},
+		"status ack": &peer.Response{}, "answer": &peer.Response{}, "answer 503": &peer.Response{}, "ok": &peer.Response{},
+	} {
+		b := samples["messages"][name]
+		if err := peer.Decode(b, into); err != nil || len(b) == 0 {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if again, err := peer.Encode(into); err != nil || string(again) != string(b) {
+			t.Errorf("%s: written again as %x, %v; was %x", name, again, err, b)
+		}
+		delete(samples["messages"], name)
+	}
+	for kind, rest := range samples {
+		for name := range rest {
+			t.Errorf("%s of the %s is looked at by nothing", name, kind)
+		}
+	}
+}
+
+// A node of this version takes over what the version in production left: its jobs,
+// Versions and machines, the ends of its jobs as dependencies among them.
+func TestProductionIsTakenOver(t *testing.T) {
+	samples := productionSamples(t)
+	h := meet(t, func(c *Config) {
+		withPeer(c)
+		c.Teams = []Team{{Name: "t"}, {Name: "vision"}}
+		c.ValueBytes, c.TxnOps, c.MaxMachines = 2<<10, 4, 100
+	})
+	store := func(key string, value []byte) {
+		h.txn(wire.Txn{Then: []wire.Change{{Put: key, Value: value}}})
+	}
+	store(wire.JobKey("job-000413"), samples["records"]["job pending plain"])
+	store(wire.JobKey("job-000412"), samples["records"]["job pending"])
+	store(wire.VersionKey("job-000412"), samples["records"]["version ranges"])
+	store(wire.JobKey("job-000001"), samples["records"]["job done"])
+	store(wire.JobKey("job-000002"), samples["records"]["job cancelled"])
+	store(wire.BatchKey(0, "h-1-1"), samples["records"]["batch"])
+	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}}) // claimed anew
+	h.run(3 * sec)
+	c := h.c
+	j := c.jobs.open["job-000412"]
+	if j == nil || j.run == nil || j.run.count != 6 || !j.run.done.has(9) {
+		t.Fatalf("its job or Version was not taken over: %+v", j)
+	}
+	if len(c.mach) != 50 || !c.mach["vm-000103"].rec.Retiring {
+		t.Errorf("%d machines, want 50", len(c.mach))
+	}
+	if a := h.submit(after("job-000500", 1, "job-000001", "job-000413")); a.Status != 201 {
+		t.Errorf("depends on its jobs: %d", a.Status)
+	}
+	if a := h.submit(after("job-000501", 1, "job-000002")); a.Status != 201 || stateOf(a) != wire.StateCancelled {
+		t.Errorf("depends on one that it cancelled: %d %s", a.Status, stateOf(a))
+	}
+	if j := c.jobs.open["job-000500"]; j == nil || !j.held() || j.needs["job-000001"] {
+		t.Errorf("%+v: want held by job-000413 alone", j)
+	}
+	h.withdraw("job-000413")
+	h.run(2 * sec)
+	if s := h.state("job-000500"); s != wire.StateCancelled {
+		t.Errorf("called %q after the job before it was cancelled", s)
+	}
+	// Its messages are answered.
+	for name, b := range samples["messages"] {
+		var req peer.Request
+		if peer.Decode(b, &req) != nil || req.Status == nil && req.Ask == nil && req.Hint == nil && req.Release == nil {
+			continue
+		}
+		req.From = "n-1"
+		if a := h.ask(func(r ReplyID) Input { return PeerMessage{Reply: r, Req: req} }); a.Status != 200 {
+			t.Errorf("%s is answered %d", name, a.Status)
+		}
+	}
+}
+
+// What this version writes, the version in production reads as it did its own; a job
+// with dependencies it takes for pending, and starts nothing of it.
+func TestProductionReadsThis(t *testing.T) {
+	due := 900.0
+	sub := wire.Submission{ID: "job-000412", Class: "c", Team: "t", Kind: "sweep", Priority: "high", Tasks: 16, CPUs: 8, Image: "i", Types: []string{"m"}, DeadlineS: &due}
+	chained := sub
+	chained.Dependencies = []string{"job-000001"}
+	for _, tc := range []struct {
+		name string
+		rec  wire.JobRecord
+		sub  bool
+	}{
+		{"a plain job", wire.NewJobRecord(&sub, 5), true},
+		{"a chained job", wire.NewJobRecord(&chained, 5), false},
+		{"a job that ended", wire.JobRecord{AcceptedMS: 5, State: wire.StateDone, Tasks: 16, EndMS: 77}, false},
+	} {
+		var old oldJobRecord
+		if err := wire.Decode(encoded(t, tc.rec), &old); err != nil {
+			t.Fatalf("%s: %v", tc.name, err)
+		}
+		if old.State != tc.rec.State || old.Tasks != 16 || old.AcceptedMS != 5 || (old.Submission != nil) != tc.sub {
+			t.Errorf("%s: read as %+v", tc.name, old)
+		}
+		if tc.sub && (old.Submission.ID != sub.ID || *old.Submission.DeadlineS != due || !reflect.DeepEqual(old.Submission.Types, sub.Types)) {
+			t.Errorf("%s: read as %+v", tc.name, old.Submission)
+		}
+	}
+	// Written again by the version in production, a plain job's record loses nothing.
+	var old oldJobRecord
+	plain := encoded(t, wire.NewJobRecord(&sub, 5))
+	if err := wire.Decode(plain, &old); err != nil || string(encoded(t, old)) != string(plain) {
+		t.Errorf("written again as %x, %v", encoded(t, old), err)
+	}
+	// Splits of batches are batches like any other.
+	var list []*machine
+	for i := range 24 {
+		list = append(list, &machine{id: fmt.Sprintf("vm-%06d", i)})
+	}
+	var b wire.BatchRecord
+	if err := wire.Decode(encoded(t, recordOf(list, nil, nil)), &b); err != nil || len(b.Machines) != 24 {
+		t.Errorf("%d machines, %v", len(b.Machines), err)
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -191,7 +191,7 @@
 		return
 	}
 	value, err := wire.Encode(mt)
-	if err != nil || string(value) == string(c.fleet.typesRaw) || len(value) > c.cfg.ValueBytes {
+	if err != nil || string(value) == string(c.fleet.typesRaw) || !c.storable(value) {
 		return
 	}
 	txn := wire.Txn{
@@ -447,6 +447,9 @@
 			continue
 		}
 		rec := recordOf(b.list, func(m *machine) bool { return f.returned[m.id] != 0 }, nil)
+		if len(rec.Machines) > c.batchLimit() {
+			continue // its owner splits it first
+		}
 		parts = append(parts, rewrite{key: key, b: b, rec: rec, drop: gone == len(b.list) && c.deletable(b)})
 		if len(parts) >= max(c.cfg.TxnOps, 1) {
 			break // the rest in a moment
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -14,21 +14,39 @@
 
 // job is an accepted, unfinished job.
 type job struct {
-	id       string
-	rec      wire.JobRecord
-	sub      *wire.Submission
-	mark     uint64
-	share    int
-	team     int
+	id    string
+	rec   wire.JobRecord
+	sub   *wire.Submission
+	mark  uint64
+	share int
+	team  int
+	// priority and due (by the time of day) are the job's effective ones; see urgency.
 	priority int
-	due      micros.Micros // time of day
-	knownAt  micros.Micros
-	run      *run    // set at the owner
-	turn     float64 // its place among others of its kind; see queue
-	place    int     // in its share's queue
-	late     bool    // it should have begun; see overdue
-	owed     bool    // within its guarantee, and has waited for half of what it should at most
-	within   bool    // it fits into its team's guarantee; see markGuaranteed
+	due      micros.Micros
+	// heldMS is when the last so far of the jobs that it needs was done, by the time of
+	// day.
+	heldMS int64
+	// needs are its dependencies that are not done by their records. doomed: one that
+	// it needs, directly or through others, is cancelled.
+	needs   map[string]bool
+	doomed  bool
+	knownAt micros.Micros
+	run     *run    // set at the owner
+	turn    float64 // its place among others of its kind; see queue
+	place   int     // in its share's queue
+	late    bool    // it should have begun; see overdue
+	owed    bool    // within its guarantee, and has waited for half of what it should at most
+	within  bool    // it fits into its team's guarantee; see markGuaranteed
+}
+
+// since is the time of day, in milliseconds, from which a job's waiting counts: its
+// acceptance, or the end of the last job that it needs, by that one's record, so that
+// every owner says the same.
+func (j *job) since() int64 {
+	if j.heldMS == 0 {
+		return j.rec.AcceptedMS
+	}
+	return max(j.rec.AcceptedMS, j.heldMS)
 }
 
 // run is what the owner of a job keeps of it.
@@ -77,6 +95,9 @@
 	tasks int
 	// spread: the other controllers are being told of its cancellation.
 	spread bool
+	// recorded: its own record said so, not just another controller.
+	recorded bool
+	endMS    int64
 }
 
 // jobTable holds jobs that are not over, and a bounded memory of those that are.
@@ -87,6 +108,11 @@
 	ring     []string
 	ringAt   int
 	creating map[string]*creation
+	// dependents are the open jobs that wait for a job, by its id, which may not be
+	// known yet: then unknown says when to read it.
+	dependents map[string][]*job
+	unknown    map[string]micros.Micros
+	reads      int // of unknown ones under way
 }
 
 func (t *jobTable) init(most int) {
@@ -94,6 +120,8 @@
 	t.open = map[string]*job{}
 	t.finals = map[string]finalJob{}
 	t.creating = map[string]*creation{}
+	t.dependents = map[string][]*job{}
+	t.unknown = map[string]micros.Micros{}
 }
 
 func (t *jobTable) final(id string) (finalJob, bool) {
@@ -142,38 +170,34 @@
 	if !wire.ValidID(id) {
 		return
 	}
-	if _, ok := c.jobs.final(id); ok {
+	if rec.Final() {
+		c.finishJob(id, finalJob{state: rec.State, tasks: rec.Tasks, recorded: true, endMS: rec.EndMS})
 		return
 	}
-	j := c.jobs.open[id]
-	if rec.Final() {
-		c.finishJob(id, finalJob{state: rec.State, tasks: rec.Tasks})
+	if _, ok := c.jobs.final(id); ok {
 		return
 	}
+	j := c.jobs.open[id]
 	if j != nil {
 		j.mark = max(j.mark, mark)
 		return
 	}
-	if rec.Submission == nil || rec.Submission.Tasks < 1 || rec.Submission.Tasks > wire.MaxTasks {
+	sub := rec.Job()
+	if sub == nil || sub.Tasks < 1 || sub.Tasks > wire.MaxTasks {
 		c.log(Error, "job record without a usable submission, ignored", "job", id)
 		return
 	}
-	sub := rec.Submission
 	team, ok := c.teamOf[sub.Team]
 	if !ok {
 		c.log(Error, "job of a team that the settings do not know, ignored", "job", id, "team", sub.Team)
 		return
 	}
-	prio, _ := wire.PriorityOf(sub.Priority)
 	j = &job{
 		id: id, rec: rec, sub: sub, mark: mark, team: team,
-		share: c.shareFor(id, team), priority: prio, knownAt: c.now,
-		due: micros.Never,
-	}
-	if sub.DeadlineS != nil {
-		j.due = micros.Micros(rec.AcceptedMS)*micros.Millisecond + micros.FromSeconds(*sub.DeadlineS)
+		share: c.shareFor(id, team), knownAt: c.now,
 	}
 	c.jobs.open[id] = j
+	c.tie(j)
 	if s := c.own.shares[j.share]; s.active {
 		c.startRun(s, j)
 	}
@@ -192,9 +216,14 @@
 		arrival: c.now,
 	}
 	s.queueStale = true
+	if j.doomed {
+		j.run.want = wire.StateCancelled // houseJobs records it
+	}
 	if j.run.fresh {
 		j.run.ready = true
-		s.arrivals.add(c.now, float64(j.sub.Tasks)*j.sub.CPUs*c.runs.expect(j.sub).Seconds())
+		if !j.held() {
+			c.noteArrival(s, j)
+		}
 	} else if s.loaded {
 		c.applyVersion(s, j)
 		// The job may have become known only now, its tasks long since seen on
@@ -347,7 +376,7 @@
 		return
 	}
 	s := c.own.shares[j.share]
-	rec := wire.JobRecord{AcceptedMS: j.rec.AcceptedMS, State: state, Tasks: j.sub.Tasks}
+	rec := wire.JobRecord{AcceptedMS: j.rec.AcceptedMS, State: state, Tasks: j.sub.Tasks, EndMS: c.wall.Millis()}
 	value, err := wire.Encode(rec)
 	if err != nil {
 		c.log(Error, "job record not encoded", "job", j.id, "error", err)
@@ -368,7 +397,7 @@
 		}
 		switch {
 		case res.Status == 200:
-			c.finishJob(j.id, finalJob{state: state, tasks: j.sub.Tasks})
+			c.finishJob(j.id, finalJob{state: state, tasks: j.sub.Tasks, recorded: true, endMS: rec.EndMS})
 		case res.NotSent || res.Status == 503 || res.Status == 429:
 			r.ending = false // not executed
 			r.endNext = c.now + c.jitter(400*micros.Millisecond)
@@ -411,12 +440,22 @@
 
 // finishJob takes notice that a job is over.
 func (c *Core) finishJob(id string, f finalJob) {
-	c.jobs.addFinal(id, f)
+	if old, ok := c.jobs.final(id); ok {
+		if old.recorded || !f.recorded {
+			return
+		}
+		f.spread = old.spread
+		c.jobs.finals[id] = f // what a controller told now stands on record
+	} else {
+		c.jobs.addFinal(id, f)
+	}
+	c.dependencyEnded(id, f)
 	j := c.jobs.open[id]
 	if j == nil {
 		return
 	}
 	delete(c.jobs.open, id)
+	c.untie(j)
 	if f.state == wire.StateCancelled {
 		c.spreadCancelled(id)
 	}
@@ -446,16 +485,23 @@
 	if !c.canAnswer() {
 		return
 	}
+	c.readUnknown()
 	var due []*job
+	held := false
 	for _, j := range c.jobs.open {
 		r := j.run
 		if r == nil || c.acting(j.share) == nil {
 			continue
 		}
+		held = held || j.held()
 		if r.want != "" && c.now >= r.endNext || r.verDirty && !r.verBusy && c.now >= r.verNext {
 			due = append(due, j)
 		}
 	}
+	c.own.job.every = jobWatchEvery
+	if held {
+		c.own.job.every = heldWatchEvery
+	}
 	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
 	for _, j := range due {
 		r := j.run
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -673,6 +673,7 @@
 		if c.acting(s.id) == nil {
 			continue
 		}
+		c.splitOne(s)
 		var ready []*machine
 		for _, m := range s.machines {
 			if m.v != nil && c.houseMachine(s, m) {
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -88,12 +88,18 @@
 		o.shares = append(o.shares, &share{id: i})
 	}
 	o.ctl = watched{prefix: wire.PrefixControl, every: 80 * micros.Millisecond, openedAt: -micros.Never}
-	// What the others' jobs do is nobody's hurry: an owner hears of a new job from
-	// the node that took it, and a claim looks by itself.
-	o.job = watched{prefix: wire.PrefixJob, every: 400 * micros.Millisecond, openedAt: -micros.Never}
+	o.job = watched{prefix: wire.PrefixJob, every: jobWatchEvery, openedAt: -micros.Never}
 	o.contact = -micros.Never
 }
 
+// What the others' jobs do is nobody's hurry: an owner hears of a new job from the
+// node that took it, and a claim looks by itself. Where a job of this node is held
+// until another's job is done, it is.
+const (
+	jobWatchEvery  = 400 * micros.Millisecond
+	heldWatchEvery = 120 * micros.Millisecond
+)
+
 // canAnswer: may this node speak for its shares from memory, and record?
 func (c *Core) canAnswer() bool {
 	return c.own.lease != 0 && c.now < c.own.renewed+c.bounds.Answer
@@ -289,6 +295,7 @@
 		}
 		if w.prefix == wire.PrefixControl {
 			c.dropUnlisted(w.listed, w.first)
+			c.dropUnlistedMachines()
 		}
 		w.ready, w.since, w.after, w.listed = true, w.first, "", nil
 		c.follow(w)
@@ -484,6 +491,7 @@
 			c.applyDelete(e.Delete, e.Version)
 		}
 	}
+	c.dropUnlistedMachines()
 }
 
 // deactivate lets a share go: nothing is remembered of it that a later claim
--- /dev/null
+++ b/internal/core/pipelines.go
@@ -0,0 +1,232 @@
+package core
+
+import (
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// A job may depend on others: none of its tasks starts before each of them is done by
+// its own record. Until then it is held: pending, and without a part in any limit,
+// guarantee, queue or demand. Every node knows which open jobs wait for which, and
+// how those that they need stand; the owner of a dependent acts on it, at any time:
+// when it learns of the job, takes it over, or learns of an end.
+
+// storable: the value fits the limits of the state service, those to come included.
+func (c *Core) storable(value wire.Raw) bool {
+	return wire.StoredSize(value, c.cfg.ValueBytes) <= c.cfg.ValueBytes
+}
+
+// held: not all that the job needs is done.
+func (j *job) held() bool { return len(j.needs) > 0 }
+
+// tie puts a job that has become known beside those that it needs and those that need
+// it, and finds out what it inherits from either.
+func (c *Core) tie(j *job) {
+	c.recall(j)
+	t := &c.jobs
+	delete(t.unknown, j.id)
+	for _, id := range j.sub.Dependencies {
+		f, over := t.final(id)
+		switch {
+		case over && f.state == wire.StateCancelled:
+			c.doom(j)
+		case over && f.recorded:
+			j.heldMS = max(j.heldMS, f.endMS)
+			continue
+		}
+		if j.needs == nil {
+			j.needs = map[string]bool{}
+		}
+		j.needs[id] = true
+		t.dependents[id] = append(t.dependents[id], j)
+		if d := t.open[id]; d == nil {
+			t.unknown[id] = c.now + micros.Second // the watch may yet bring it
+		} else if d.doomed {
+			c.doom(j)
+		}
+	}
+	c.urge(j)
+}
+
+// untie takes a job that is over away from those that it needed.
+func (c *Core) untie(j *job) {
+	t := &c.jobs
+	for _, id := range j.sub.Dependencies {
+		if !j.needs[id] {
+			continue
+		}
+		rest := slices.DeleteFunc(t.dependents[id], func(d *job) bool { return d == j })
+		if len(rest) == 0 {
+			delete(t.dependents, id)
+			delete(t.unknown, id)
+		} else {
+			t.dependents[id] = rest
+		}
+	}
+	c.urge(j)
+}
+
+// dependencyEnded lets those go on that waited for a job, or cancels them with it.
+func (c *Core) dependencyEnded(id string, f finalJob) {
+	t := &c.jobs
+	delete(t.unknown, id)
+	if f.state == wire.StateCancelled {
+		for _, d := range t.dependents[id] {
+			c.doom(d)
+		}
+		return
+	}
+	if !f.recorded {
+		t.unknown[id] = c.now // nothing starts on another controller's word
+		return
+	}
+	waiting := t.dependents[id]
+	delete(t.dependents, id)
+	for _, d := range waiting {
+		delete(d.needs, id)
+		end := f.endMS
+		if end == 0 {
+			end = c.wall.Millis() // recorded by a version that does not tell
+		}
+		d.heldMS = max(d.heldMS, end)
+		if d.held() || d.doomed || d.run == nil {
+			continue
+		}
+		s := c.own.shares[d.share]
+		s.queueStale, c.dirty = true, true
+		d.run.arrival = c.now
+		c.noteArrival(s, d)
+		c.log(Info, "job may start, all that it needs is done", "job", d.id, "after_ms", c.wall.Millis()-end)
+	}
+}
+
+// noteArrival counts work that may start from now on.
+func (c *Core) noteArrival(s *share, j *job) {
+	s.arrivals.add(c.now, float64(j.sub.Tasks)*j.sub.CPUs*c.runs.expect(j.sub).Seconds())
+}
+
+// doom marks a job as to be cancelled, since one that it needs is, and with it all
+// that need it, however deep: none of them can ever start. Each is recorded by its own
+// owner, and called cancelled only then.
+func (c *Core) doom(j *job) {
+	n := 0
+	for stack := []*job{j}; len(stack) > 0; {
+		d := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		if d.doomed {
+			continue
+		}
+		d.doomed = true
+		if d.run != nil && d.run.want == "" {
+			d.run.want = wire.StateCancelled // houseJobs records it
+			c.own.shares[d.share].queueStale = true
+			n++
+		}
+		stack = append(stack, c.jobs.dependents[d.id]...)
+	}
+	if n > 0 {
+		c.log(Info, "jobs to be cancelled with one that they need", "first", j.id, "count", n)
+		c.wakeIn(0)
+	}
+}
+
+// namesCancelled: a job that is to be accepted needs one that is cancelled, directly
+// or through others, as far as this node knows.
+func (c *Core) namesCancelled(sub *wire.Submission) bool {
+	return slices.ContainsFunc(sub.Dependencies, func(id string) bool {
+		f, over := c.jobs.final(id)
+		d := c.jobs.open[id]
+		return over && f.state == wire.StateCancelled || d != nil && d.doomed
+	})
+}
+
+// recall sets a job's effective priority and deadline by those that need it, and tells
+// whether they have changed. It may be treated as having the priority of any of them;
+// and where one is due, it must be done as much earlier as that one takes.
+func (c *Core) recall(j *job) bool {
+	prio, _ := wire.PriorityOf(j.sub.Priority)
+	due := micros.Never
+	if j.sub.DeadlineS != nil {
+		due = micros.Micros(j.rec.AcceptedMS)*micros.Millisecond + micros.FromSeconds(*j.sub.DeadlineS)
+	}
+	for _, d := range c.jobs.dependents[j.id] {
+		prio = max(prio, d.priority)
+		if d.due < micros.Never {
+			due = min(due, d.due-c.runs.expect(d.sub))
+		}
+	}
+	if prio == j.priority && due == j.due {
+		return false
+	}
+	j.priority, j.due = prio, due
+	c.own.shares[j.share].queueStale = true
+	return true
+}
+
+// urge lets a job's priority and deadline flow up to all that it needs.
+func (c *Core) urge(j *job) {
+	for stack := []*job{j}; len(stack) > 0; {
+		d := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		for id := range d.needs {
+			if up := c.jobs.open[id]; up != nil && c.recall(up) {
+				stack = append(stack, up)
+			}
+		}
+	}
+}
+
+// mostReads bounds the reads of unknown dependencies under way.
+const mostReads = 4
+
+// readUnknown reads dependencies of jobs of this node that are not known here: their
+// ends may have left memory.
+func (c *Core) readUnknown() {
+	t := &c.jobs
+	if len(t.unknown) == 0 {
+		return
+	}
+	for _, id := range sortedKeys(t.unknown) {
+		if t.reads >= mostReads {
+			return
+		}
+		if c.now < t.unknown[id] || !slices.ContainsFunc(t.dependents[id], func(d *job) bool { return d.run != nil && !d.doomed }) {
+			continue
+		}
+		t.unknown[id] = c.now + 2*micros.Second
+		t.reads++
+		c.readJob(id, func(int) { t.reads-- })
+	}
+}
+
+// lookUpDependencies finds out whether all that a submission names was accepted: 200,
+// 404 if one surely was not, 0 if that can't be said now.
+func (c *Core) lookUpDependencies(sub wire.Submission, done func(status int)) {
+	var ask []string
+	for _, id := range sub.Dependencies {
+		if id == sub.ID {
+			done(404) // it is unknown, or its repeated submission would have been answered
+			return
+		}
+		if !c.knows(id) {
+			ask = append(ask, id)
+		}
+	}
+	left, status := len(ask), 200
+	if left == 0 {
+		done(200)
+		return
+	}
+	for _, id := range ask {
+		c.readJob(id, func(got int) {
+			if got == 404 || got != 200 && status == 200 {
+				status = got
+			}
+			if left--; left == 0 {
+				done(status)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/core/pipelines_test.go
@@ -0,0 +1,553 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// after is a plain submission that depends on others.
+func after(id string, tasks int, dependencies ...string) wire.Submission {
+	s := jobOf(id, tasks)
+	s.Dependencies = dependencies
+	return s
+}
+
+func stateOf(a Answer) string {
+	b, _ := a.Body.(wire.JobAnswer)
+	return b.State
+}
+
+// record stores a job's record as another node would.
+func (h *harness) record(s wire.Submission) {
+	h.put(wire.JobKey(s.ID), wire.NewJobRecord(&s, h.now.Millis()))
+}
+
+// recordEnd ends it on record, as another node would, at a time of day.
+func (h *harness) recordEnd(id, state string, endMS int64) {
+	h.put(wire.JobKey(id), wire.JobRecord{State: state, Tasks: 1, EndMS: endMS})
+}
+
+// A submission may name jobs that were accepted by anybody, in whatever state they
+// are; one that was never accepted, itself included, is 422 after a fresh read only.
+func TestDependenciesAccepted(t *testing.T) {
+	deaf := func(h *harness) {
+		h.deafTo = wire.PrefixJob
+		h.run(sec)
+	}
+	for _, tc := range []struct {
+		name string
+		set  func(h *harness)
+		deps []string
+		want int
+	}{
+		{"open and known", func(h *harness) { h.submit(jobOf("job-000001", 1)) }, []string{"job-000001"}, 201},
+		{"accepted elsewhere, not heard of", func(h *harness) { deaf(h); h.record(jobOf("job-000001", 1)) }, []string{"job-000001"}, 201},
+		{"done and out of memory", func(h *harness) { deaf(h); h.recordEnd("job-000001", wire.StateDone, 0) }, []string{"job-000001"}, 201},
+		{"cancelled", func(h *harness) { h.recordEnd("job-000001", wire.StateCancelled, 0) }, []string{"job-000001"}, 201},
+		{"two, one held itself", func(h *harness) {
+			h.submit(jobOf("job-000001", 1))
+			h.submit(after("job-000002", 1, "job-000001"))
+		}, []string{"job-000001", "job-000002"}, 201},
+		{"never accepted", nil, []string{"job-000001"}, 422},
+		{"one of two never accepted", func(h *harness) { h.submit(jobOf("job-000001", 1)) }, []string{"job-000001", "job-000002"}, 422},
+		{"itself", nil, []string{"job-000009"}, 422},
+		{"no read to be had", func(h *harness) { h.stateDown, h.refused = true, true }, []string{"job-000001"}, 503},
+		{"too many for a record", func(h *harness) {
+			for i := range 150 {
+				h.recordEnd(fmt.Sprintf("job-%06d", 100+i), wire.StateDone, 0)
+			}
+		}, names(100, 150), 400},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, func(c *Config) { withPeer(c); c.ValueBytes = 2 << 10 })
+			if tc.set != nil {
+				tc.set(h)
+			}
+			a := h.submit(after("job-000009", 1, tc.deps...))
+			if a.Status != tc.want {
+				t.Fatalf("answered %d, want %d", a.Status, tc.want)
+			}
+			if a.Status == 503 && a.RetryAfterS < 1 {
+				t.Error("no time to come back")
+			}
+			if a.Status != 201 {
+				return
+			}
+			// Its repeat is answered with its state, whatever it names now.
+			for _, deps := range [][]string{tc.deps, {"job-000777"}, {"job-000009"}, nil} {
+				if a := h.submit(after("job-000009", 1, deps...)); a.Status != 200 && a.Status != 503 {
+					t.Errorf("repeat that names %v: %d", deps, a.Status)
+				}
+			}
+		})
+	}
+}
+
+func names(from, n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("job-%06d", from+i))
+	}
+	return out
+}
+
+// pipeline is a harness with a machine, and jobs that need each other as a diamond:
+// 2 and 3 need 1, 4 needs both.
+func diamond(t *testing.T) (h *harness, token uint64) {
+	h = meet(t, withPeer)
+	token = h.settle("vm-1")
+	h.submit(jobOf("job-000001", 1))
+	h.submit(after("job-000002", 1, "job-000001"))
+	h.submit(after("job-000003", 1, "job-000001"))
+	h.submit(after("job-000004", 1, "job-000002", "job-000003"))
+	h.dropCalls()
+	return h, token
+}
+
+// started gives the names of the tasks that a report's answer starts; those before
+// are reported as done.
+func (h *harness) finishAndStart(seq uint64, token uint64, before []wire.Command) []wire.Command {
+	h.dropCalls()
+	_, body := h.checkin(report("vm-1", 1, seq, token, shownDone(before)...))
+	return starts(body.Commands)
+}
+
+func shownDone(cmds []wire.Command) (out []wire.TaskReport) {
+	for _, c := range cmds {
+		out = append(out, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskExited, Why: wire.WhyDone})
+	}
+	return out
+}
+
+func taskNames(cmds []wire.Command) string {
+	var out []string
+	for _, c := range cmds {
+		out = append(out, c.Task)
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
+// A pipeline runs in order, each job once all that it needs is done on record.
+func TestPipelineRuns(t *testing.T) {
+	h, token := diamond(t)
+	seq := uint64(20)
+	var running []wire.Command
+	for _, want := range []string{"job-000001/0", "job-000002/0 job-000003/0", "job-000004/0"} {
+		var got []wire.Command
+		for range 20 {
+			seq++
+			if got = h.finishAndStart(seq, token, running); len(got) > 0 {
+				break
+			}
+			h.run(200 * ms)
+		}
+		if taskNames(got) != want {
+			t.Fatalf("%q started, want %q", taskNames(got), want)
+		}
+		running = got
+	}
+	for range 5 {
+		seq++
+		h.finishAndStart(seq, token, running)
+		h.run(sec)
+	}
+	for _, id := range []string{"job-000001", "job-000004"} {
+		if s := h.state(id); s != wire.StateDone {
+			t.Errorf("%s is called %q", id, s)
+		}
+	}
+}
+
+// A held job is pending and takes nothing of its team's limit, guarantee or demand,
+// and nothing but a record lets it go.
+func TestHeld(t *testing.T) {
+	h := meet(t, func(c *Config) { withPeer(c); c.Teams = []Team{{Name: "t", CPUs: 3, CPUsMax: 4}} })
+	token := h.settle("vm-1")
+	other := jobOf("job-000001", 1)
+	h.record(other)
+	h.submit(after("job-000002", 2, "job-000001"))
+	h.submit(jobOf("job-000003", 2))
+	c := h.c
+	s := c.own.shares[0]
+	held, free := c.jobs.open["job-000002"], c.jobs.open["job-000003"]
+	if !held.held() || slices.Contains(c.queue(s), held) {
+		t.Error("a held job stands in the queue")
+	}
+	if !free.within {
+		t.Error("a held job takes of its team's guarantee")
+	}
+	if d := c.demandOf(s); waitingCPUs(&d)+d.Busy > 3+eps {
+		t.Errorf("%v CPUs are wanted: a held job is among them", waitingCPUs(&d)+d.Busy)
+	}
+	if got := h.state("job-000002"); got != wire.StatePending {
+		t.Errorf("called %q", got)
+	}
+	noStart := func(when string) {
+		t.Helper()
+		h.dropCalls()
+		for seq := h.c.mach["vm-1"].v.seq; seq < h.c.mach["vm-1"].v.seq+1; {
+			_, body := h.checkin(report("vm-1", 1, seq+1, token))
+			for _, cmd := range starts(body.Commands) {
+				if strings.HasPrefix(cmd.Task, "job-000002/") {
+					t.Fatalf("started %s", when)
+				}
+			}
+			break
+		}
+	}
+	noStart("while held")
+	// Its dependency's task is done by a report; another controller says that the job
+	// is; the record does not.
+	c.finishJob("job-000001", finalJob{state: wire.StateDone, tasks: 1})
+	h.run(100 * ms)
+	if !held.held() {
+		t.Error("let go on another controller's word")
+	}
+	noStart("on another controller's word")
+	h.recordEnd("job-000001", wire.StateDone, 0)
+	h.run(3 * sec) // read, since it had left the list of open jobs
+	if held.held() || !slices.Contains(c.queue(s), held) {
+		t.Error("still held, though its dependency is done on record")
+	}
+}
+
+// The time from which a job's waiting counts is the end of the last job that it
+// needs, by that one's record: the same at any owner.
+func TestWaitingCountsFromLastEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		turn func(h *harness, sub wire.Submission)
+	}{
+		{"at the owner", func(h *harness, sub wire.Submission) {
+			h.record(jobOf("job-000001", 1))
+			h.record(jobOf("job-000002", 1))
+			h.record(sub)
+			h.recordEnd("job-000001", wire.StateDone, 9_000_000)
+			h.recordEnd("job-000002", wire.StateDone, 8_000_000)
+		}},
+		{"learned later, out of order", func(h *harness, sub wire.Submission) {
+			h.record(sub)
+			h.recordEnd("job-000002", wire.StateDone, 8_000_000)
+			h.recordEnd("job-000001", wire.StateDone, 9_000_000)
+		}},
+		{"learned when all are over", func(h *harness, sub wire.Submission) {
+			h.recordEnd("job-000001", wire.StateDone, 9_000_000)
+			h.recordEnd("job-000002", wire.StateDone, 8_000_000)
+			h.record(sub)
+		}},
+		{"out of memory", func(h *harness, sub wire.Submission) {
+			h.deafTo = wire.PrefixJob
+			h.run(sec)
+			h.c.jobs.most = 1
+			h.recordEnd("job-000001", wire.StateDone, 9_000_000)
+			h.recordEnd("job-000002", wire.StateDone, 8_000_000)
+			h.submit(sub)
+			if j := h.c.jobs.open["job-000009"]; j == nil || !j.held() {
+				h.t.Error("nothing is unknown: the case is not what it should be")
+			}
+			h.run(4 * sec)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, withPeer)
+			tc.turn(h, after("job-000009", 1, "job-000001", "job-000002"))
+			j := h.c.jobs.open["job-000009"]
+			if j == nil || j.held() {
+				t.Fatalf("%+v: held, or not known", j)
+			}
+			if j.since() != 9_000_000 {
+				t.Errorf("counts from %d, want 9000000", j.since())
+			}
+		})
+	}
+}
+
+// A cancellation runs down to all that need the job, however deep and wide, whatever
+// the owner learns in which order; one that is answered with done leaves them alone.
+func TestCancellationRunsDown(t *testing.T) {
+	chain := func(h *harness, n int) {
+		h.record(jobOf("job-000100", 1))
+		for i := 1; i < n; i++ {
+			h.record(after(fmt.Sprintf("job-%06d", 100+i), 1, fmt.Sprintf("job-%06d", 99+i)))
+		}
+	}
+	all := func(h *harness, n int) (states map[string]int) {
+		states = map[string]int{}
+		for i := range n {
+			states[h.state(fmt.Sprintf("job-%06d", 100+i))]++
+		}
+		return states
+	}
+	const n = 60
+	for _, tc := range []struct {
+		name string
+		play func(h *harness)
+	}{
+		{"withdrawn here", func(h *harness) { chain(h, n); h.withdraw("job-000100") }},
+		{"recorded by another owner", func(h *harness) { chain(h, n); h.recordEnd("job-000100", wire.StateCancelled, 0) }},
+		{"told by another controller first", func(h *harness) {
+			chain(h, n)
+			h.step(PeerMessage{Reply: 900, Req: peer.Request{From: "n-1", Status: &peer.Status{Cancelled: []string{"job-000100"}}}})
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+		}},
+		{"cancelled before its dependents are submitted", func(h *harness) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			for i := 1; i < n; i++ {
+				if a := h.submit(after(fmt.Sprintf("job-%06d", 100+i), 1, fmt.Sprintf("job-%06d", 99+i))); a.Status != 201 {
+					t.Fatalf("submission after a cancelled job: %d", a.Status)
+				}
+			}
+		}},
+		{"wide", func(h *harness) {
+			h.record(jobOf("job-000100", 1))
+			for i := 1; i < n; i++ {
+				h.record(after(fmt.Sprintf("job-%06d", 100+i), 1, "job-000100"))
+			}
+			h.withdraw("job-000100")
+		}},
+		{"learned by a node that has just begun, dependents first", func(h *harness) {
+			h.record(after("job-000101", 1, "job-000100"))
+			for i := 2; i < n; i++ {
+				h.record(after(fmt.Sprintf("job-%06d", 100+i), 1, fmt.Sprintf("job-%06d", 99+i)))
+			}
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+		}},
+		{"the state service is away at that moment", func(h *harness) {
+			chain(h, n)
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			h.stateDown, h.refused = true, true
+			h.run(sec)
+			for i := 1; i < n; i++ {
+				if s := h.state(fmt.Sprintf("job-%06d", 100+i)); s != "" && s != wire.StateCancelled {
+					t.Errorf("called %q with a cancelled job before it", s)
+				}
+			}
+			h.run(8 * sec)
+			h.stateDown, h.refused = false, false
+		}},
+		{"the owner changes", func(h *harness) {
+			chain(h, n)
+			h.late = wire.PrefixJob
+			h.txn(wire.Txn{Then: []wire.Change{{Put: wire.JobKey("job-000100"), Value: encoded(t, wire.JobRecord{State: wire.StateCancelled, Tasks: 1})}}})
+			h.run(sec)
+			h.late = ""
+			h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
+			h.run(2 * sec)
+			if applied := h.carryOut(); applied != 0 {
+				t.Errorf("%d writes of the former owner were applied", applied)
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, withPeer)
+			h.settle("vm-1")
+			tc.play(h)
+			h.run(6 * sec)
+			if got := all(h, n); got[wire.StateCancelled] != n {
+				t.Errorf("states %v, want all %d cancelled", got, n)
+			}
+			for _, c := range h.commandsOut() {
+				if c.Op == wire.OpStart && c.Task != "job-000100/0" {
+					t.Errorf("%s is started", c.Task)
+				}
+			}
+		})
+	}
+	t.Run("answered with done", func(t *testing.T) {
+		h := meet(t, withPeer)
+		chain(h, 3)
+		h.recordEnd("job-000100", wire.StateDone, 0)
+		if a := h.withdraw("job-000100"); stateOf(a) != wire.StateDone {
+			t.Fatalf("withdrawal answered %q", stateOf(a))
+		}
+		h.run(3 * sec)
+		if got := all(h, 3); got[wire.StatePending] != 2 {
+			t.Errorf("states %v, want two pending", got)
+		}
+		if h.c.jobs.open["job-000101"].held() {
+			t.Error("still held")
+		}
+	})
+}
+
+func encoded(t *testing.T, rec any) wire.Raw {
+	value, err := wire.Encode(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// Priority and deadline of the last job work for all that it needs, from when it is
+// submitted until it is gone.
+func TestUrgencyFlowsUp(t *testing.T) {
+	h := meet(t, withPeer)
+	low := func(id string, dependencies ...string) wire.Submission {
+		s := after(id, 1, dependencies...)
+		s.Priority = "best_effort"
+		return s
+	}
+	h.record(low("job-000001"))
+	h.record(low("job-000002", "job-000001"))
+	h.record(low("job-000003", "job-000001"))
+	at := func(id string) (int, micros.Micros) {
+		j := h.c.jobs.open[id]
+		return j.priority, j.due
+	}
+	if p, due := at("job-000001"); p != wire.PriorityLow || due != micros.Never {
+		t.Errorf("priority %d, due %v before anything urgent needs it", p, due)
+	}
+	last := after("job-000004", 1, "job-000002", "job-000003")
+	last.Priority = "high"
+	last.DeadlineS = new(100.0)
+	h.record(last)
+	_, due := at("job-000004")
+	for i, id := range []string{"job-000003", "job-000001"} {
+		p, d := at(id)
+		if want := due - micros.Micros(i+1)*10*sec; p != wire.PriorityHigh || d != want {
+			t.Errorf("%s: priority %d, due %v, want high and %v", id, p, d, want)
+		}
+	}
+	// More urgent work of its own keeps its own.
+	own := after("job-000005", 1, "job-000004")
+	own.Priority, own.DeadlineS = "standard", new(500.0)
+	h.record(own)
+	if p, d := at("job-000004"); p != wire.PriorityHigh || d != due {
+		t.Errorf("priority %d, due %v: a laxer dependent changed it", p, d)
+	}
+	h.withdraw("job-000004")
+	h.run(2 * sec)
+	if p, d := at("job-000001"); p != wire.PriorityLow || d != micros.Never {
+		t.Errorf("priority %d, due %v after what needed it is cancelled", p, d)
+	}
+}
+
+// Batches that a version with larger limits wrote are split in one transaction; what
+// runs on their machines goes on, whatever the order in which the parts are told.
+func TestSplit(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		lose    bool
+		reverse bool
+	}{{"answered", false, false}, {"answer lost", true, false}, {"told in another order", true, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, func(c *Config) {
+				withPeer(c)
+				c.ValueBytes, c.TxnOps, c.MaxMachines, c.Asks = 2<<10, 4, 100, 200
+			})
+			var ids []string
+			for i := range 50 {
+				ids = append(ids, machineName(i))
+			}
+			h.c.splitAt = micros.Never
+			h.putMachines("h-1-1", ids...)
+			var b *batch
+			for _, b = range h.c.batches {
+			}
+			s := h.c.own.shares[0]
+			token := h.c.token(s, h.c.mach[ids[0]])
+			for _, id := range ids {
+				h.checkin(report(id, 1, 2, token))
+			}
+			h.submit(jobOf("job-000001", 200))
+			h.dropCalls()
+			running := map[string][]wire.TaskReport{}
+			n := 0
+			for _, id := range ids {
+				_, body := h.checkin(report(id, 1, 3, token))
+				running[id] = shown(starts(body.Commands), wire.TaskRunning)
+				h.checkin(report(id, 1, 4, token, running[id]...))
+				n += len(running[id])
+			}
+			if n != 200 {
+				t.Fatalf("%d tasks run, want 200", n)
+			}
+			if tc.lose {
+				h.lose = wire.PrefixFleet
+			}
+			if tc.reverse {
+				h.deafTo = wire.PrefixControl
+			}
+			from := len(h.log)
+			h.c.splitAt = 0
+			h.run(sec)
+			if tc.reverse {
+				slices.Reverse(h.log[from:])
+				h.deafTo = ""
+			}
+			h.giveUp()
+			h.run(sec)
+			in := map[string]int{}
+			for key, o := range h.c.batches {
+				if value := h.keys[key].Value; wire.StoredSize(value, 2<<10) > 2<<10 {
+					t.Errorf("%s takes %d bytes", key, len(value))
+				}
+				for _, m := range o.list {
+					in[m.id]++
+				}
+			}
+			active := len(h.c.jobs.open["job-000001"].run.active)
+			if len(h.c.batches) < 3 || len(in) != 50 || active != 200 {
+				t.Errorf("%d batches with %d machines, %d tasks active; want 3, 50, 200", len(h.c.batches), len(in), active)
+			}
+			for id, times := range in {
+				m := h.c.mach[id]
+				if times != 1 || m == nil || m.v == nil || len(m.v.list) != 4 {
+					t.Fatalf("%s stands in %d batches, or its tasks are gone", id, times)
+				}
+				if h.c.token(s, m) <= token {
+					t.Errorf("the token of %s did not rise", id)
+				}
+			}
+			_ = b
+		})
+	}
+}
+
+// What is written fits the limits in their textual form, at the smaller size.
+func TestEverythingFits(t *testing.T) {
+	const limit = 2 << 10
+	h := meet(t, func(c *Config) { withPeer(c); c.ValueBytes = limit; c.TxnOps = 4 })
+	h.settle("vm-1")
+	for name, tasks := range map[string]int{"job-000001": 2000, "job-000002": 100_000, "job-000003": 1} {
+		for pattern, every := range map[string]int{"alternating": 2, "in threes": 3, "all but the last": 1} {
+			h.submit(jobOf(name, tasks))
+			j := h.c.jobs.open[name]
+			j.run.done, j.run.count = newBitset(tasks), 0
+			for i := 0; i < tasks-1; i += every {
+				j.run.done.set(i)
+				j.run.count++
+			}
+			j.run.steps, j.run.re = nil, nil
+			for i := range maxSteps {
+				j.run.steps = append(j.run.steps, wire.Step{Task: 99_000 + i, Machine: "vm-123456", StartMS: 1_800_000_000_000, EndMS: 1_800_000_000_000})
+			}
+			for range maxRecoveries {
+				j.run.re = append(j.run.re, 1_800_000_000_000)
+			}
+			rec, _ := h.c.version(j)
+			value := encoded(t, rec)
+			if n := wire.StoredSize(value, limit); n > limit {
+				t.Errorf("a Version of %d tasks, %s, counts %d bytes", tasks, pattern, n)
+			}
+			if rec.Count == 0 && tasks > 1 {
+				t.Errorf("a Version of %d tasks, %s, names none", tasks, pattern)
+			}
+		}
+	}
+	var list []*machine
+	for i := range h.c.batchLimit() {
+		m := &machine{id: fmt.Sprintf("vm-%06d", 123456+i)}
+		m.rec = machineRecord{Addr: "10.201.230.231:9000", Type: "a-long-name-of-a-type", Zone: "birmingham", Spot: i%2 == 0, Retiring: true}
+		list = append(list, m)
+	}
+	if n := wire.StoredSize(encoded(t, recordOf(list, nil, nil)), limit); n > limit {
+		t.Errorf("a batch of %d machines counts %d bytes", len(list), n)
+	}
+}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -168,7 +168,8 @@
 	s.queueStale, s.queueNext = false, c.now+reorderEvery
 	s.queue = s.queue[:0]
 	for _, j := range c.jobs.open {
-		if j.share == s.id && j.run != nil {
+		// A held job takes no part in anything: no limit, no guarantee, no demand.
+		if j.share == s.id && j.run != nil && !j.held() && !j.doomed {
 			s.queue = append(s.queue, j)
 		}
 	}
@@ -183,7 +184,7 @@
 		j.late = c.overdue(j)
 		j.owed = j.within && c.cfg.GuaranteeWithin > 0 && c.waited(j) > c.cfg.GuaranteeWithin/2
 		work := float64(j.sub.Tasks-j.run.count) * j.sub.CPUs * c.runs.expect(j.sub).Seconds()
-		j.turn = float64(j.rec.AcceptedMS)/1000 + turnFactor*work/cpus
+		j.turn = float64(j.since())/1000 + turnFactor*work/cpus
 	}
 	slices.SortFunc(s.queue, func(a, b *job) int {
 		return cmp.Or(
@@ -192,7 +193,7 @@
 			-cmp.Compare(a.priority, b.priority),
 			-cmp.Compare(b2i(a.within), b2i(b.within)),
 			cmp.Compare(a.turn, b.turn),
-			cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS),
+			cmp.Compare(a.since(), b.since()),
 			cmp.Compare(a.id, b.id))
 	})
 	s.firstWait = 0
@@ -231,7 +232,7 @@
 // together with the team's earlier ones.
 func (c *Core) markGuaranteed(jobs []*job) {
 	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.since(), b.since()), cmp.Compare(a.id, b.id))
 	})
 	team, over := -1, false
 	var sum usage
@@ -250,7 +251,7 @@
 // runnable: a job wants tasks started, and they may be.
 func (c *Core) runnable(s *share, j *job) bool {
 	r := j.run
-	return r != nil && r.ready && r.want == "" && j.pending() > 0 && c.mayStart() &&
+	return r != nil && r.ready && r.want == "" && j.pending() > 0 && !j.held() && !j.doomed && c.mayStart() &&
 		j.knownAt <= c.own.renewed+c.bounds.Answer &&
 		// A former owner may have started its tasks on a machine unheard of.
 		(r.fresh || s.current && s.settled)
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -206,7 +206,7 @@
 func (c *Core) dueOf(j *job) micros.Micros {
 	due := j.due
 	if within := c.cfg.Finished[j.sub.Class]; within > 0 {
-		due = min(due, micros.Micros(j.rec.AcceptedMS)*micros.Millisecond+within)
+		due = min(due, micros.Micros(j.since())*micros.Millisecond+within)
 	}
 	return due
 }
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -238,3 +238,35 @@
 		b.ReportMetric((held(200, 40, 10_000)-base)/10_000, "B/finished-job")
 	}
 }
+
+// TestWorkOfPipelines: hundreds of pipelines that wait cost a report and a look at
+// everything hardly more than none, and the end of one job only what depends on it.
+func TestWorkOfPipelines(t *testing.T) {
+	work := func(pipelines int) (perReport, walk float64) {
+		h := bigHarness(t, 50, 20, 500)
+		for p := range pipelines {
+			first := jobOf(fmt.Sprintf("job-%06d", 500_000+10*p), 100)
+			h.submit(first)
+			for stage := 1; stage < 5; stage++ {
+				s := jobOf(fmt.Sprintf("job-%06d", 500_000+10*p+stage), 50)
+				s.Dependencies = []string{fmt.Sprintf("job-%06d", 500_000+10*p+stage-1)}
+				h.submit(s)
+			}
+			h.open = h.open[:0]
+		}
+		before := h.c.looks
+		for i := range 100 {
+			h.c.lastHouse = h.now
+			h.turn(i % 50)
+		}
+		return float64(h.c.looks-before) / 100, float64(len(h.c.queue(h.c.own.shares[0])))
+	}
+	none, _ := work(0)
+	many, queue := work(300)
+	if many > 2*none+10 {
+		t.Errorf("a report looks at %.0f machines, jobs and attempts, without pipelines at %.0f", many, none)
+	}
+	if queue > 20+300 {
+		t.Errorf("%.0f jobs stand in the queue, held ones among them", queue)
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -71,8 +71,8 @@
 		done, running := a.Done, a.Running
 		body.Done, body.Running = &done, &running
 		c.answer(r, a.Status, body, 0)
-	case 404:
-		c.answer(r, 404, nil, 0)
+	case 400, 404, 422:
+		c.answer(r, a.Status, nil, 0)
 	default:
 		c.answer(r, 503, nil, 1)
 	}
@@ -100,6 +100,15 @@
 		fresh()
 		return
 	}
+	if j.doomed {
+		c.freshState(id, func(a peer.Answer) {
+			if a.Status == 200 && a.State == wire.StatePending {
+				a = peer.Answer{Status: 503} // it is to be cancelled, and that is not on record yet
+			}
+			done(a)
+		})
+		return
+	}
 	s := c.own.shares[j.share]
 	if c.speaksFor(j) {
 		if j.run.ending || j.run.unsure {
@@ -276,8 +285,17 @@
 		c.answer(in.Reply, 429, nil, 2)
 		return
 	}
-	c.create(in.Job, func(status int, state string) {
-		c.tellJob(in.Reply, id, peer.Answer{Status: status, State: state})
+	c.lookUpDependencies(in.Job, func(status int) {
+		switch status {
+		case 200:
+			c.create(in.Job, func(status int, state string) {
+				c.tellJob(in.Reply, id, peer.Answer{Status: status, State: state})
+			})
+		case 404:
+			c.turnDown(in.Reply, id, 422)
+		default:
+			c.answer(in.Reply, 503, nil, 1)
+		}
 	})
 }
 
@@ -348,10 +366,15 @@
 		cr.waiters = append(cr.waiters, done)
 		return
 	}
-	rec := wire.JobRecord{Submission: &sub, AcceptedMS: c.wall.Millis(), State: wire.StatePending, Tasks: sub.Tasks}
+	rec := wire.NewJobRecord(&sub, c.wall.Millis())
+	if c.namesCancelled(&sub) {
+		// Accepted and over in one write, so that nobody is told "pending" of it when
+		// the job before it may have been cancelled long ago.
+		rec = wire.JobRecord{AcceptedMS: rec.AcceptedMS, State: wire.StateCancelled, Tasks: sub.Tasks, EndMS: rec.AcceptedMS}
+	}
 	value, err := wire.Encode(rec)
-	if err != nil || len(value) > c.cfg.ValueBytes {
-		c.log(Error, "job record does not fit", "job", id, "bytes", len(value), "error", err)
+	if err != nil || !c.storable(value) {
+		c.log(Info, "job record does not fit, refused", "job", id, "bytes", len(value), "dependencies", len(sub.Dependencies), "error", err)
 		done(400, "")
 		return
 	}
@@ -372,7 +395,7 @@
 			c.own.contact = c.now
 			c.learnJob(id, rec, body.Revision)
 			c.hint(id, body.Revision, value)
-			finish(201, wire.StatePending)
+			finish(201, rec.State)
 			return
 		}
 		if r.NotSent || r.Status == 503 || r.Status == 429 {
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -97,15 +97,19 @@
 func (c *Core) version(j *job) (wire.VersionRecord, bitset) {
 	r := j.run
 	rec := wire.VersionRecord{Steps: r.steps, Recoveries: r.re}
-	// A pair of numbers takes at most 10 bytes, a word 9; keep well below the limit.
-	room := c.cfg.ValueBytes - 1500
+	// The limit counts the textual form: a step takes up to 75 bytes, a pair of numbers
+	// 12, a word of a set 21.
+	if most := max(min(maxSteps, c.cfg.ValueBytes/128), 1); len(rec.Steps) > most {
+		rec.Steps = rec.Steps[len(rec.Steps)-most:]
+	}
+	room := c.cfg.ValueBytes - 75*len(rec.Steps) - 250
 	ranges := 0
 	for i := range j.sub.Tasks {
 		if r.done.has(i) && (i == 0 || !r.done.has(i-1)) {
 			ranges++
 		}
 	}
-	if n := 9 * len(r.done); ranges > 16 && n < 6*ranges && n <= room {
+	if n := 21 * len(r.done); ranges > 16 && n < 12*ranges && n <= room {
 		rec.Set, rec.Count = slices.Clone(r.done), r.count
 		return rec, bitset(rec.Set)
 	}
@@ -144,7 +148,7 @@
 	r, s := j.run, c.own.shares[j.share]
 	rec, covered := c.version(j)
 	value, err := wire.Encode(rec)
-	if err != nil || len(value) > c.cfg.ValueBytes {
+	if err != nil || !c.storable(value) {
 		c.log(Error, "Version not encoded", "job", j.id, "bytes", len(value), "error", err)
 		r.verDirty = false
 		return
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -101,14 +101,15 @@
 // CoreConfig gives the core what it needs of the settings.
 func CoreConfig(set config.Settings, opt config.Options) core.Config {
 	cl, sz := set.Cluster, SizesOf(set)
+	state := cl.State.Lowest()
 	cfg := core.Config{
 		Label: set.Label, Shares: cl.Nodes,
 		Lease:       micros.Micros(opt.LeaseMS) * micros.Millisecond,
 		ReportEvery: micros.FromSeconds(cl.Workers.ReportS),
 		WorkerLease: micros.FromSeconds(cl.Workers.LeaseS),
 		Cancel:      micros.FromSeconds(cl.Workers.CancelS),
-		StateRPS:    cl.State.RPS, WriteRPS: cl.State.WriteRPS,
-		ValueBytes: int(cl.State.ValueKB * 1024), TxnOps: cl.State.TxnOps,
+		StateRPS:    state.RPS, WriteRPS: state.WriteRPS,
+		ValueBytes: int(state.ValueKB * 1024), TxnOps: state.TxnOps,
 		Asks: sz.Asks, OpenJobs: sz.OpenJobs, FinalJobs: sz.FinalJobs,
 		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
 		SilentReturn: silentReturn(opt),
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -74,6 +74,17 @@
 		{"meetings and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Faults: true}, 8},
 		{"churn, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true}, 2},
 		{"churn and meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true, Meet: true}, 3},
+		// Pipelines, and a roll from the version in production.
+		{"pipelines, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4}, 3},
+		{"pipelines, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4}, 3},
+		{"pipelines and troubles, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4, Faults: true}, 12},
+		{"pipelines and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4, Faults: true}, 12},
+		{"pipelines and meetings, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4, Meet: true}, 10},
+		{"pipelines and meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4, Meet: true}, 10},
+		{"a roll, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: true}, 4},
+		{"a roll and troubles, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: true, Faults: true}, 12},
+		{"a roll and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: true, Faults: true}, 12},
+		{"a roll of a grown deployment", grownTeam, Plan{Nodes: 3, Machines: 300, Jobs: 40, Pipelines: 6, Grown: true, Roll: true, Faults: true}, 2},
 		{"ten times too slow, troubles", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Faults: true, Slow: 300 * ms}, 6},
 	} {
 		for seed := range seeds(r.seeds) {
@@ -95,6 +106,9 @@
 				if p.Slow > 0 && s.Waited < 3*p.Slow {
 					t.Errorf("nothing had to wait: %v s at most", s.Waited.Seconds())
 				}
+				if p.Pipelines > 0 && !p.Meet && !p.Faults && s.Chained == 0 {
+					t.Error("no task started after others")
+				}
 				if s.Wasted > 0 {
 					t.Errorf("%d machines returned with work on them, though nothing was wrong with them", s.Wasted)
 				}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -100,7 +100,7 @@
 //	jobs N            N submissions of one task each
 func ServeWorld(in io.Reader, out io.Writer) error {
 	w := &World{sim: base(Plan{Seed: 1, Nodes: 1}), began: time.Now(), byHost: map[string]*worldMachine{}}
-	w.sim.cfg.ValueBytes = 64 << 10
+	w.sim.State.valueBytes = 64 << 10
 	ln, err := net.Listen("tcp4", "0.0.0.0:0")
 	if err != nil {
 		return fmt.Errorf("stand-in world: %w", err)
--- a/internal/wire/records.go
+++ b/internal/wire/records.go
@@ -49,12 +49,37 @@
 }
 
 // JobRecord is an accepted job. A finished one keeps only what users may still
-// ask for.
+// ask for. The submission of a job with dependencies stands in a field of its own:
+// a version that does not know of dependencies then takes the record for one without
+// a usable submission, answers that the job is pending, and starts nothing.
 type JobRecord struct {
 	Submission *Submission `cbor:"sub,omitempty"`
+	Chained    *Submission `cbor:"chain,omitempty"`
 	AcceptedMS int64       `cbor:"at"` // time of day
 	State      string      `cbor:"state"`
 	Tasks      int         `cbor:"tasks"`
+	// EndMS is when the job ended, by the time of day of its owner: what waited for it
+	// counts from then on, at any owner. 0: not told.
+	EndMS int64 `cbor:"end,omitempty"`
+}
+
+// NewJobRecord is the record of a job that is being accepted.
+func NewJobRecord(s *Submission, acceptedMS int64) JobRecord {
+	r := JobRecord{AcceptedMS: acceptedMS, State: StatePending, Tasks: s.Tasks}
+	if len(s.Dependencies) > 0 {
+		r.Chained = s
+	} else {
+		r.Submission = s
+	}
+	return r
+}
+
+// Job is the submission of an unfinished job; nil if the record holds none.
+func (r JobRecord) Job() *Submission {
+	if r.Chained != nil {
+		return r.Chained
+	}
+	return r.Submission
 }
 
 // Final tells whether the job is over.
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -32,6 +32,9 @@
 	CheckpointS float64  `cbor:"restS"`
 	SaveS       float64  `cbor:"stowS"`
 	DeadlineS   *float64 `cbor:"dueS"`
+	// Dependencies are the jobs that have to be done before a task of this one starts,
+	// each named once.
+	Dependencies []string `cbor:"follows,omitempty"`
 }
 
 // Plain: where its tasks may run depends on nothing but their size.
@@ -61,6 +64,7 @@
 	CheckpointS *float64  `cbor:"restS"`
 	SaveS       *float64  `cbor:"stowS"`
 	DeadlineS   *float64  `cbor:"dueS"`
+	Follows     *[]string `cbor:"follows"`
 }
 
 // SubmissionError says what is wrong with a submission. ID is set when the
@@ -154,6 +158,17 @@
 			}
 		}
 	}
+	if raw.Follows != nil {
+		named := make(map[string]bool, len(*raw.Follows))
+		for _, id := range *raw.Follows {
+			if !ValidID(id) {
+				p.fail("a dependency is no job's id")
+			} else if !named[id] {
+				named[id] = true
+				s.Dependencies = append(s.Dependencies, id)
+			}
+		}
+	}
 	if p.reason != "" {
 		id := s.ID
 		if !ValidID(id) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"fmt"
 	"reflect"
 
@@ -46,6 +47,26 @@
 	return b, nil
 }
 
+// StoredSize is how large a value counts in the state service, whose limits count the
+// textual form, but no less than what is sent. Bounds far from most give no exact
+// figure: it is at most limit if and only if the value fits.
+func StoredSize(value Raw, limit int) int {
+	const widest = 6 // a boolean takes one byte here, and six there
+	if len(value) > limit || widest*len(value) <= limit {
+		return len(value)
+	}
+	var v any
+	if err := dec.Unmarshal(value, &v); err != nil {
+		return limit + 1
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		return limit + 1
+	}
+	const decimals = 2 * 16 // amounts are written with a decimal point even where they are whole
+	return max(len(text)+decimals, len(value))
+}
+
 // Decode reads a whole CBOR body into v; anything left over is an error.
 func Decode(b []byte, v any) error {
 	if err := dec.Unmarshal(b, v); err != nil {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -48,6 +49,13 @@
 		{"flag as a number", "strays", 1, false, "job-000412"},
 		{"types as text", "breeds", "g8", false, "job-000412"},
 		{"binary team", "crew", []byte("vision"), false, "job-000412"},
+		{"no dependencies, null", "follows", nil, true, ""},
+		{"no dependencies, empty", "follows", []string{}, true, ""},
+		{"dependencies", "follows", []string{"job-000001", "job-000002"}, true, ""},
+		{"dependencies as text", "follows", "job-000001", false, "job-000412"},
+		{"dependencies as numbers", "follows", []int{1}, false, "job-000412"},
+		{"a dependency that is no id", "follows", []string{"job-000001", "task-7"}, false, "job-000412"},
+		{"a dependency that is null", "follows", []any{nil}, false, "job-000412"},
 		{"id without digits", "nameId", "job-", false, ""},
 		{"short id", "nameId", "job-12", false, ""},
 		{"another form of id", "nameId", "task-000412", false, ""},
@@ -144,3 +152,46 @@
 		})
 	}
 }
+
+// Dependencies are named once each; null, absent and empty are the same.
+func TestDependencies(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		value any
+		want  []string
+	}{
+		{"null", nil, nil},
+		{"empty", []string{}, nil},
+		{"one", []string{"job-000007"}, []string{"job-000007"}},
+		{"named twice", []string{"job-000007", "job-000008", "job-000007"}, []string{"job-000007", "job-000008"}},
+	} {
+		m := good()
+		m["follows"] = tc.value
+		body, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, serr := ParseSubmission(body)
+		if serr != nil || !slices.Equal(s.Dependencies, tc.want) {
+			t.Errorf("%s: %v, %v; want %v", tc.name, s.Dependencies, serr, tc.want)
+		}
+	}
+}
+
+// A value counts as its text does, or as what is sent if that is more.
+func TestStoredSize(t *testing.T) {
+	list := make([]bool, 300)
+	value, err := Encode(map[string]any{"k": list})
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := len(`{"k":[]}`) + len("false")*300 + 299
+	for _, tc := range []struct {
+		limit int
+		fits  bool
+	}{{len(value) - 1, false}, {len(value), false}, {text - 1, false}, {text + 40, true}, {100_000, true}} {
+		if got := StoredSize(value, tc.limit) <= tc.limit; got != tc.fits {
+			t.Errorf("limit %d: fits %v, want %v", tc.limit, got, tc.fits)
+		}
+	}
+}
