--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -206,11 +206,7 @@
 func (c *Core) lookUpDependencies(sub wire.Submission, done func(status int)) {
 	var ask []string
 	for _, id := range sub.Dependencies {
-		if id == sub.ID {
-			done(404) // it is unknown, or its repeated submission would have been answered
-			return
-		}
-		if !c.knows(id) {
+		if !c.knows(id) { // as the job itself is not
 			ask = append(ask, id)
 		}
 	}
--- a/internal/core/pipelines_test.go
+++ b/internal/core/pipelines_test.go
@@ -304,6 +304,12 @@
 				}
 			}
 		}},
+		{"cancelled, then dependents accepted by another node", func(h *harness) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			for i := 1; i < n; i++ {
+				h.record(after(fmt.Sprintf("job-%06d", 100+i), 1, fmt.Sprintf("job-%06d", 99+i)))
+			}
+		}},
 		{"wide", func(h *harness) {
 			h.record(jobOf("job-000100", 1))
 			for i := 1; i < n; i++ {
