--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -78,11 +78,14 @@
 		}
 		return
 	}
+	waiting := t.dependents[id]
+	if len(waiting) == 0 {
+		return
+	}
 	if !f.recorded {
 		t.unknown[id] = c.now // nothing starts on another controller's word
 		return
 	}
-	waiting := t.dependents[id]
 	delete(t.dependents, id)
 	for _, d := range waiting {
 		delete(d.needs, id)
