--- a/internal/standin/pipelines.go
+++ b/internal/standin/pipelines.go
@@ -169,7 +169,7 @@
 			}
 		})
 	}
-	s.after(s.rolledAt()+s.span(0, 30*sec), func() {
+	s.after(s.span(12*sec, s.rolledAt()+30*sec), func() { // while old nodes run, or later
 		s.trace("the state service lowers its limits")
 		s.State.valueBytes, s.State.txnOps = lowerValue, lowerOps
 	})
