--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -101,7 +101,7 @@
 		s.queueStale, c.dirty = true, true
 		d.run.arrival = c.now
 		c.noteArrival(s, d)
-		c.log(Info, "job may start, all that it needs is done", "job", d.id, "after_ms", c.wall.Millis()-end)
+		c.log(Info, "job may start, all that it needs is done", "job", d.id, "after_ms", c.wall.Millis()-end, "class", d.sub.Class, "priority", d.priority)
 	}
 }
 
