--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -73,9 +73,7 @@
 	t := &c.jobs
 	delete(t.unknown, id)
 	if f.state == wire.StateCancelled {
-		for _, d := range t.dependents[id] {
-			c.doom(d)
-		}
+		c.doom(t.dependents[id]...)
 		return
 	}
 	waiting := t.dependents[id]
@@ -110,12 +108,12 @@
 	s.arrivals.add(c.now, float64(j.sub.Tasks)*j.sub.CPUs*c.runs.expect(j.sub).Seconds())
 }
 
-// doom marks a job as to be cancelled, since one that it needs is, and with it all
-// that need it, however deep: none of them can ever start. Each is recorded by its own
-// owner, and called cancelled only then.
-func (c *Core) doom(j *job) {
-	n := 0
-	for stack := []*job{j}; len(stack) > 0; {
+// doom marks jobs as to be cancelled, since one that they need is, and with them all
+// that need them, however deep: none of them can ever start. Each is recorded by its
+// own owner, and called cancelled only then.
+func (c *Core) doom(jobs ...*job) {
+	n, first := 0, ""
+	for stack := slices.Clone(jobs); len(stack) > 0; {
 		d := stack[len(stack)-1]
 		stack = stack[:len(stack)-1]
 		if d.doomed {
@@ -125,12 +123,14 @@
 		if d.run != nil && d.run.want == "" {
 			d.run.want = wire.StateCancelled // houseJobs records it
 			c.own.shares[d.share].queueStale = true
-			n++
+			if n++; n == 1 {
+				first = d.id
+			}
 		}
 		stack = append(stack, c.jobs.dependents[d.id]...)
 	}
 	if n > 0 {
-		c.log(Info, "jobs to be cancelled with one that they need", "first", j.id, "count", n)
+		c.log(Info, "jobs to be cancelled with one that they need", "first", first, "count", n)
 		c.wakeIn(0)
 	}
 }
