A held job is called pending only with a new view; a machine whose move became void is used again

A node back from an outage longer than a cancellation may take called a held job pending by a fresh read of its record, though its user had been told of the cancellation before it 33 s earlier (orphaned): now 503 until its view of jobs is new enough. A machine whose unanswered move the leader's rewriting of its batch had made void stood aside for ever (left waiting).

--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -65,6 +65,12 @@
 			c.attach(m)
 		case m.batch == b:
 			c.fillMachine(m, id, rec.Kinds[e.Kind], e)
+			if m.v != nil {
+				// It stays, and a move of it under the former mark can't be applied any more,
+				// whoever has rewritten the batch (a machine stood aside for ever after the
+				// leader had, found by the simulation).
+				m.v.leaving = false
+			}
 		case m.batch.mark > mark:
 			continue // moved on since
 		case m.rec.Share == id:
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -878,3 +878,43 @@
 		})
 	}
 }
+
+// A machine's move is not answered; before the owner raises its token, the leader
+// rewrites the batch. The move is void then, and the machine is to be used again.
+func TestVoidMoveEnds(t *testing.T) {
+	h := meet(t, func(c *Config) {
+		withPeer(c)
+		c.Shares = 2
+		c.Teams = []Team{{Name: "t", CPUs: 8}, {Name: "u", CPUs: 4}}
+	})
+	h.run(4 * sec)
+	h.list("vm-1")
+	h.checkin(report("vm-1", 1, 1, 0))
+	m := h.c.mach["vm-1"]
+	m.batch.next = 0
+	h.c.fleet.planNext = micros.Never
+	h.late = wire.PrefixFleet
+	if h.c.release(peer.Release{Machines: []string{"vm-1"}, Share: 1 - m.rec.Share}); !m.v.leaving {
+		t.Fatal("not on its way: the case is not what it should be")
+	}
+	h.step(Tick{})
+	sent := h.lateOut
+	h.late, h.lateOut = "", nil
+	for _, c := range sent {
+		h.step(Result{ID: c.ID})
+	}
+	h.put(m.batch.key, recordOf(m.batch.list, nil, nil)) // as the leader does
+	h.dropCalls()
+	for seq := uint64(10); seq < 14; seq++ {
+		h.checkin(report("vm-1", 1, seq, h.c.token(h.c.own.shares[m.rec.Share], m)))
+		h.run(2 * sec)
+		h.dropCalls()
+	}
+	if m.v == nil || m.v.leaving || m.v.unclear != 0 {
+		t.Errorf("%+v: still on its way, though the move can't be applied any more", m.v)
+	}
+	h.lateOut = sent
+	if n := h.carryOut(); n != 0 {
+		t.Errorf("%d moves were applied late", n)
+	}
+}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -66,7 +66,8 @@
 	every    micros.Micros
 	listed   map[string]bool
 	after    string
-	first    uint64 // revision of the listing's first page
+	seenAt   micros.Micros // when it was last heard of: up to then all is known
+	first    uint64        // revision of the listing's first page
 }
 
 type ownership struct {
@@ -229,6 +230,9 @@
 	}
 }
 
+// watchBlock is how long a watch waits for changes.
+const watchBlock = 5 * micros.Second
+
 // follow keeps a prefix listed and watched.
 func (c *Core) follow(w *watched) {
 	if w.busy {
@@ -244,16 +248,15 @@
 		c.listPage(w)
 		return
 	}
-	const block = 5 * micros.Second
-	req := Watch{Prefix: w.prefix, Since: w.since, WaitMS: block.Millis()}
-	c.askState(prioLease, req, block+2*micros.Second, func(r Result) {
+	req := Watch{Prefix: w.prefix, Since: w.since, WaitMS: watchBlock.Millis()}
+	c.askState(prioLease, req, watchBlock+2*micros.Second, func(r Result) {
 		w.busy = false
 		switch body := r.Body.(type) {
 		case *wire.Events:
 			if r.Status != 200 {
 				break
 			}
-			c.own.contact = c.now
+			c.own.contact, w.seenAt = c.now, c.now
 			c.applyEvents(body.Events)
 			w.since = max(w.since, body.Revision)
 		default:
@@ -297,7 +300,7 @@
 			c.dropUnlisted(w.listed, w.first)
 			c.dropUnlistedMachines()
 		}
-		w.ready, w.since, w.after, w.listed = true, w.first, "", nil
+		w.ready, w.since, w.after, w.listed, w.seenAt = true, w.first, "", nil, c.now
 		c.follow(w)
 	})
 }
@@ -478,6 +481,7 @@
 			return
 		}
 		c.applyEvents(body.Events)
+		w.seenAt = c.now
 		s.current = true
 		c.dirty = true
 	})
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -248,7 +248,7 @@
 		c.cancelJob(j, done)
 		return
 	}
-	if j.run.ending || j.run.unsure || j.doomed {
+	if j.run.ending || j.run.unsure || !c.mayWait(j) {
 		done(peer.Answer{Status: 503})
 		return
 	}
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -145,6 +145,26 @@
 	})
 }
 
+// mayWait: a job may be called pending as far as those go that it needs. Of one that
+// needs a cancelled job nobody is told so, and of a held one only while this node's
+// view of jobs is new enough to know: after an outage of the state service a
+// cancellation that its user was told of long ago may not have come here yet.
+func (c *Core) mayWait(j *job) bool {
+	if j.doomed || !j.held() {
+		return !j.doomed
+	}
+	w := &c.own.job
+	if !w.ready || c.now-w.seenAt > min(2*watchBlock, c.cfg.Cancel/2) {
+		return false
+	}
+	for id := range j.needs {
+		if _, unknown := c.jobs.unknown[id]; unknown {
+			return false
+		}
+	}
+	return true
+}
+
 // recall sets a job's effective priority and deadline by those that need it, and tells
 // whether they have changed. It may be treated as having the priority of any of them;
 // and where one is due, it must be done as much earlier as that one takes.
--- a/internal/core/pipelines_test.go
+++ b/internal/core/pipelines_test.go
@@ -557,3 +557,55 @@
 		t.Errorf("a batch of %d machines counts %d bytes", len(list), n)
 	}
 }
+
+// After an outage, a cut or a start, a node may not have heard of a cancellation that a
+// user was told of long ago: it calls no held job pending before its view is new
+// enough (found by the simulation: a node back from an outage longer than a
+// cancellation may take).
+func TestHeldIsPendingOnlyWithNewView(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		lose func(h *harness)
+	}{
+		{"its watch brings nothing", func(h *harness) {
+			h.deafTo = wire.PrefixJob
+			h.run(11 * sec)
+		}},
+		{"it is listing anew", func(h *harness) {
+			h.deafTo = wire.PrefixJob
+			h.c.own.job.ready, h.c.own.job.busy = false, true
+		}},
+		{"the dependency's end is not in memory", func(h *harness) {
+			h.c.jobs.unknown["job-000001"] = micros.Never
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, withPeer)
+			h.record(jobOf("job-000001", 1))
+			h.record(after("job-000002", 1, "job-000001"))
+			h.record(jobOf("job-000003", 1))
+			h.run(sec)
+			if s := h.state("job-000002"); s != wire.StatePending {
+				t.Fatalf("called %q in calm", s)
+			}
+			tc.lose(h)
+			if a := h.poll("job-000002"); a.Status != 503 {
+				t.Errorf("answered %d %q with an old view", a.Status, stateOf(a))
+			}
+			if b := h.askAs("n-1", "job-000002"); b.Status != 503 {
+				t.Errorf("another node is told %d %q with an old view", b.Status, b.State)
+			}
+			if s := h.state("job-000003"); s != wire.StatePending {
+				t.Errorf("a job without dependencies is called %q", s)
+			}
+		})
+	}
+}
+
+// askAs puts another controller's question.
+func (h *harness) askAs(label, id string) peer.Answer {
+	a := h.ask(func(r ReplyID) Input {
+		return PeerMessage{Reply: r, Req: peer.Request{From: label, Ask: &peer.Ask{ID: id}}}
+	})
+	return *a.Body.(*peer.Response).Answer
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -100,18 +100,9 @@
 		fresh()
 		return
 	}
-	if j.doomed {
-		c.freshState(id, func(a peer.Answer) {
-			if a.Status == 200 && a.State == wire.StatePending {
-				a = peer.Answer{Status: 503} // it is to be cancelled, and that is not on record yet
-			}
-			done(a)
-		})
-		return
-	}
 	s := c.own.shares[j.share]
 	if c.speaksFor(j) {
-		if j.run.ending || j.run.unsure {
+		if j.run.ending || j.run.unsure || !c.mayWait(j) {
 			fresh()
 			return
 		}
@@ -186,6 +177,9 @@
 			done(finalAnswer(f))
 			return
 		}
+		if j := c.jobs.open[id]; status == 200 && j != nil && !c.mayWait(j) {
+			status = 0
+		}
 		switch status {
 		case 200:
 			done(peer.Answer{Status: 200, State: wire.StatePending})
