--- a/garnethitch_test.go
+++ b/garnethitch_test.go
@@ -61,6 +61,19 @@
 	return path
 }
 
+// run lets a controller run until the test ends.
+func run(tb testing.TB, c *Controller) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	tb.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			tb.Error(err)
+		}
+	})
+}
+
 // TestAlone runs a whole controller that reaches neither the state service nor
 // the cloud: it must answer everything at once, and nothing wrongly.
 func TestAlone(t *testing.T) {
@@ -69,15 +82,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- c.Run(ctx) }()
-	defer func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	}()
+	run(t, c)
 	for { // until it listens
 		if conn, err := net.Dial("tcp4", serve); err == nil {
 			conn.Close()
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -20,7 +20,7 @@
 	mark  uint64
 	share int
 	team  int
-	// priority and due (by the time of day) are the job's effective ones; see urgency.
+	// priority and due (by the time of day) are the job's effective ones; see recall.
 	priority int
 	due      micros.Micros
 	// heldMS is when the last so far of the jobs that it needs was done, by the time of
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 
 	"garnethitch/internal/micros"
@@ -719,7 +720,7 @@
 	var waits []open
 	for range 240 { // a minute
 		n++
-		id := wire.TaskName("job-0", 0)[:4] + pad(n)
+		id := fmt.Sprintf("job-%06d", n)
 		h.submit(jobOf(id, 1))
 		if n%4 == 0 {
 			h.withdraw(id)
@@ -774,14 +775,6 @@
 	}
 }
 
-func pad(n int) string {
-	s := "000000"
-	for i, d := 5, n; d > 0; i, d = i-1, d/10 {
-		s = s[:i] + string(rune('0'+d%10)) + s[i+1:]
-	}
-	return s
-}
-
 // A Version that is carried out after its job's end leaves nothing behind.
 func TestLateVersion(t *testing.T) {
 	h := meet(t, withPeer)
--- a/internal/runtime/sizes.go
+++ b/internal/runtime/sizes.go
@@ -38,10 +38,10 @@
 const page = 512 << 10
 
 // What a job takes: BenchmarkMemory gives 2.1 KB for one of 500 tasks that waits,
-// and 113 bytes for a final state.
+// and 140 bytes for a final state.
 const (
 	openJobBytes  = 4 << 10
-	finalJobBytes = 128
+	finalJobBytes = 160
 )
 
 // SizesOf works the sizes out.
--- a/path_test.go
+++ b/path_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"os"
@@ -96,15 +95,7 @@
 	}
 	procs := runtime.GOMAXPROCS(0)
 	tb.Cleanup(func() { runtime.GOMAXPROCS(procs) })
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- c.Run(ctx) }()
-	tb.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			tb.Error(err)
-		}
-	})
+	run(tb, c)
 	w.say("ready")
 	w.say("job 100000")
 	return w
--- a/pipeline_test.go
+++ b/pipeline_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -21,15 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- c.Run(ctx) }()
-	defer func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	}()
+	run(t, c)
 	w.say("ready")
 	do := func(method, path string, body any) (int, string) {
 		t.Helper()
