--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -73,24 +73,23 @@
 			}
 		case m.batch.mark > mark:
 			continue // moved on since
-		case m.rec.Share == id:
-			// A batch that had grown too large for the limits was split: the machine stays
-			// where it is, with what is on it, under a higher token.
-			from := m.batch
-			from.list = slices.DeleteFunc(from.list, func(o *machine) bool { return o == m })
-			m.batch = b
-			c.fillMachine(m, id, rec.Kinds[e.Kind], e)
 		default:
-			// In from another batch. It was idle, or it would not have moved.
-			from := m.batch
+			// In from another batch: one of its own share that had grown too large for the
+			// limits and was split, so that it stays where it is, with what is on it, under a
+			// higher token; or of another share. Then it was idle, or it would not have moved.
+			from, moved := m.batch, m.rec.Share != id
 			from.list = slices.DeleteFunc(from.list, func(o *machine) bool { return o == m })
-			if m.v != nil && !m.v.empty() {
-				c.log(Error, "machine moved with tasks on it", "machine", m.id, "slots", len(m.v.list))
+			if moved {
+				if m.v != nil && !m.v.empty() {
+					c.log(Error, "machine moved with tasks on it", "machine", m.id, "slots", len(m.v.list))
+				}
+				c.detach(m)
 			}
-			c.detach(m)
 			m.batch = b
 			c.fillMachine(m, id, rec.Kinds[e.Kind], e)
-			c.attach(m)
+			if moved {
+				c.attach(m)
+			}
 		}
 		b.list = append(b.list, m)
 		if e.Retiring && m.v != nil {
@@ -317,11 +316,9 @@
 // stands it is read; to be rewritten it must be split.
 func (c *Core) oversize(b *batch) bool { return len(b.list) > c.batchLimit() }
 
-// split parts a batch of a share of this node into several, in one transaction.
+// split parts a batch of a share of this node, of which no write is under way, into
+// several, in one transaction.
 func (c *Core) split(s *share, b *batch) {
-	if b.busy || c.now < b.next {
-		return
-	}
 	b.next = c.now + 5*micros.Second // also where it can't be done
 	var parts []rewrite
 	for chunk := range slices.Chunk(slices.Clone(b.list), c.batchLimit()) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -214,17 +214,11 @@
 	_, body = h.checkin(report("vm-1", 1, 11, token,
 		wire.TaskReport{Task: "job-000001/0", Attempt: cmds[0].Attempt, State: wire.TaskFetching},
 		wire.TaskReport{Task: "job-000001/1", Attempt: cmds[1].Attempt, State: wire.TaskRunning}))
-	halts := 0
-	for _, c := range body.Commands {
-		if c.Op == wire.OpStop && c.GraceS != nil && *c.GraceS == 0 {
-			halts++
-		}
-		if c.Op == wire.OpStart {
-			t.Errorf("a cancelled job's task is started: %v", c)
-		}
+	if again := starts(body.Commands); len(again) > 0 {
+		t.Errorf("a cancelled job's tasks are started: %v", again)
 	}
-	if halts != 2 {
-		t.Errorf("%d halts without grace, want 2: %v", halts, body.Commands)
+	if n := stops(body.Commands); n != 2 {
+		t.Errorf("%d halts without grace, want 2: %v", n, body.Commands)
 	}
 	if s := h.state("job-000001"); s != wire.StateCancelled {
 		t.Errorf("called %q, want cancelled", s)
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -340,6 +340,21 @@
 	return out
 }
 
+// withdraw asks to cancel a job.
+func (h *harness) withdraw(id string) Answer {
+	return h.ask(func(r ReplyID) Input { return Withdraw{Reply: r, ID: id} })
+}
+
+// stops counts the halts without grace.
+func stops(cmds []wire.Command) (n int) {
+	for _, c := range cmds {
+		if c.Op == wire.OpStop && c.GraceS != nil && *c.GraceS == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // startOne submits job-000001 with one task and has it started on vm-1 by the
 // answer to a report; it gives the attempt.
 func (h *harness) startOne(token uint64) uint64 {
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -12,20 +12,6 @@
 // The cases here bring about the meetings of docs/meetings.md, which names the
 // guard of each.
 
-func (h *harness) withdraw(id string) Answer {
-	return h.ask(func(r ReplyID) Input { return Withdraw{Reply: r, ID: id} })
-}
-
-// stops counts the halts without grace.
-func stops(cmds []wire.Command) (n int) {
-	for _, c := range cmds {
-		if c.Op == wire.OpStop && c.GraceS != nil && *c.GraceS == 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // runOne has job-000001 of one task running on vm-1, at a node with a peer; it gives
 // the token and the attempt.
 func (h *harness) runOne() (token, attempt uint64) {
--- a/internal/core/pipelines_test.go
+++ b/internal/core/pipelines_test.go
@@ -191,14 +191,11 @@
 	noStart := func(when string) {
 		t.Helper()
 		h.dropCalls()
-		for seq := h.c.mach["vm-1"].v.seq; seq < h.c.mach["vm-1"].v.seq+1; {
-			_, body := h.checkin(report("vm-1", 1, seq+1, token))
-			for _, cmd := range starts(body.Commands) {
-				if strings.HasPrefix(cmd.Task, "job-000002/") {
-					t.Fatalf("started %s", when)
-				}
+		_, body := h.checkin(report("vm-1", 1, h.c.mach["vm-1"].v.seq+1, token))
+		for _, cmd := range starts(body.Commands) {
+			if strings.HasPrefix(cmd.Task, "job-000002/") {
+				t.Fatalf("started %s", when)
 			}
-			break
 		}
 	}
 	noStart("while held")
@@ -453,9 +450,6 @@
 			}
 			h.c.splitAt = micros.Never
 			h.putMachines("h-1-1", ids...)
-			var b *batch
-			for _, b = range h.c.batches {
-			}
 			s := h.c.own.shares[0]
 			token := h.c.token(s, h.c.mach[ids[0]])
 			for _, id := range ids {
@@ -511,7 +505,6 @@
 					t.Errorf("the token of %s did not rise", id)
 				}
 			}
-			_ = b
 		})
 	}
 }
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -119,24 +119,11 @@
 	if s.now < s.meet.endUntil && len(u.done) == u.sub.Tasks && !u.asked && s.chance(0.6) {
 		s.meet.AtEnd++
 		u.withdraw()
-		s.after(s.span(0, 5*ms), u.poll1)
+		s.after(s.span(0, 5*ms), func() { u.ask(u.node(), nil) })
 		s.after(s.span(0, 5*ms), u.again)
 	}
 }
 
-// poll1 asks once.
-func (u *user) poll1() { u.ask(u.node()) }
-
-// ask puts one question to a node.
-func (u *user) ask(n *Node) {
-	told := u.told
-	u.requestAt(n, func(id core.ReplyID) core.Input { return core.Poll{Reply: id, ID: u.sub.ID} }, 2*sec, func(a core.Answer, ok bool) {
-		if ok {
-			u.hear(a, told)
-		}
-	})
-}
-
 // lookClosely: right after a job was accepted, ended or confirmed as cancelled its
 // user asks all nodes again and again within milliseconds, and repeats the
 // submission; some cancel at once. No node may answer anything older.
@@ -148,7 +135,7 @@
 	for i := range 4 {
 		for _, n := range s.Nodes {
 			s.meet.Looks++
-			s.after(micros.Micros(i)*ms+s.span(0, ms), func() { u.ask(n) })
+			s.after(micros.Micros(i)*ms+s.span(0, ms), func() { u.ask(n, nil) })
 			if i%2 == 0 {
 				s.after(micros.Micros(i)*ms+s.span(0, ms), func() { u.repeat(n) })
 			}
@@ -304,7 +291,8 @@
 	return true
 }
 
-// some troubles of single machines, here for several at once.
+// muteSome keeps a part of the machines from reaching any controller, deafSome keeps
+// what is sent to them from arriving.
 func (s *Sim) muteSome(part float64, d micros.Micros) {
 	for _, w := range s.some(part) {
 		w.muteUntil = s.now + d
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -161,11 +161,7 @@
 			}
 		})
 	}
-	told := u.told
-	u.request(func(id core.ReplyID) core.Input { return core.Poll{Reply: id, ID: u.sub.ID} }, 2*sec, func(a core.Answer, ok bool) {
-		if ok {
-			u.hear(a, told)
-		}
+	u.ask(u.node(), func() {
 		wait := 2 * sec
 		if u.told != "" {
 			wait = 10 * sec // final answers are asked for again later
@@ -174,6 +170,19 @@
 	})
 }
 
+// ask puts one question to a node; then, if set, follows on the answer or on none.
+func (u *user) ask(n *Node, then func()) {
+	told := u.told
+	u.requestAt(n, func(id core.ReplyID) core.Input { return core.Poll{Reply: id, ID: u.sub.ID} }, 2*sec, func(a core.Answer, ok bool) {
+		if ok {
+			u.hear(a, told)
+		}
+		if then != nil {
+			then()
+		}
+	})
+}
+
 func (u *user) withdraw() {
 	s := u.sim
 	if u.told != "" {
