--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -37,7 +37,7 @@
 	Dependencies []string `cbor:"follows,omitempty"`
 }
 
-// Plain: where its tasks may run depends on nothing but their size.
+// Plain tells that where its tasks may run depends on nothing but their size.
 func (s *Submission) Plain() bool {
 	return s.Types == nil && s.Zone == "" && !s.OneZone && !s.Apart && s.Spot
 }
