--- a/internal/core/home.go
+++ b/internal/core/assignment.go
@@ -11,14 +11,14 @@
 
 // creating is a batch that the leader is recording. It is sent again, under the
 // same key, until it is clear that it stands or never can: a late copy could
-// record its machines at any time, so they are homed nowhere else meanwhile.
+// record its machines at any time, so they are assigned nowhere else meanwhile.
 type creating struct {
 	key  string
 	rec  wire.BatchRecord
 	busy bool
 	next micros.Micros
-	// callers wait for an answer to their reports.
-	callers []caller
+	// reporters wait for an answer to their reports.
+	reporters []reporter
 }
 
 // rented is a machine that this leader has rented. It is recorded once it
@@ -30,9 +30,9 @@
 	at micros.Micros
 }
 
-// caller is a machine without a record that has reported. Its report is
-// answered once it has a home.
-type caller struct {
+// reporter is a machine without a record that has reported. Its report is
+// answered once it is assigned.
+type reporter struct {
 	in Checkin
 	kind
 }
@@ -45,7 +45,7 @@
 )
 
 // unknownMachine deals with the report of a machine without a record: the
-// leader gives it a home first. A report alone does not do, for it may be a late
+// leader assigns it first. A report alone does not do, for it may be a late
 // copy of one that a machine sent before it was returned: this leader must have
 // rented it, or it must answer for itself.
 func (c *Core) unknownMachine(in Checkin) {
@@ -55,13 +55,13 @@
 		return
 	}
 	id := rep.Machine
-	if f.homing[id] || f.returning[id] || f.returned[id] != 0 || len(c.types) == 0 || !wire.UsableKey(id) || rep.Addr == "" || len(f.callers) >= maxCallers {
+	if f.assigning[id] || f.returning[id] || f.returned[id] != 0 || len(c.types) == 0 || !wire.UsableKey(id) || rep.Addr == "" || len(f.reporters) >= maxCallers {
 		c.answer(in.Reply, 503, nil, 0)
 		return
 	}
 	k := kind{rep.Type, rep.Zone, rep.Spot}
 	if f.rented[id] != nil {
-		c.addCaller(caller{in, k})
+		c.addReporter(reporter{in, k})
 		return
 	}
 	if !c.orders.mayAsk() {
@@ -69,75 +69,75 @@
 		return
 	}
 	mark := c.own.leader.mark
-	f.homing[id] = true
+	f.assigning[id] = true
 	c.askWorker(rep.Addr, Show{}, func(r Result) {
 		if c.own.leader.mark != mark {
 			c.answer(in.Reply, 503, nil, 0)
 			return
 		}
-		delete(f.homing, id)
+		delete(f.assigning, id)
 		got, ok := r.Body.(*wire.Report)
 		if !ok || r.Status != 200 || got.Machine != id || f.returned[id] != 0 || f.returning[id] || c.mach[id] != nil {
 			c.answer(in.Reply, 503, nil, 0)
 			return
 		}
-		c.addCaller(caller{in, k})
+		c.addReporter(reporter{in, k})
 	})
 }
 
-func (c *Core) addCaller(cl caller) {
+func (c *Core) addReporter(cl reporter) {
 	f := &c.fleet
-	if len(f.callers) == 0 {
-		f.callNext = c.now + callersEvery
+	if len(f.reporters) == 0 {
+		f.reportersAt = c.now + callersEvery
 	}
-	f.homing[cl.in.Report.Machine] = true
-	f.callers = append(f.callers, cl)
-	c.wakeIn(f.callNext - c.now)
+	f.assigning[cl.in.Report.Machine] = true
+	f.reporters = append(f.reporters, cl)
+	c.wakeIn(f.reportersAt - c.now)
 }
 
-// houseCallers records the machines that have reported of late.
-func (c *Core) houseCallers() {
+// recordReporters records the machines that have reported of late.
+func (c *Core) recordReporters() {
 	f := &c.fleet
-	if len(f.callers) == 0 || c.now < f.callNext {
+	if len(f.reporters) == 0 || c.now < f.reportersAt {
 		return
 	}
-	callers := f.callers
-	f.callers = nil
-	var list []homeless
-	for _, cl := range callers {
-		list = append(list, homeless{wire.BatchMachine{ID: cl.in.Report.Machine, Addr: cl.in.Report.Addr}, cl.kind})
+	reporters := f.reporters
+	f.reporters = nil
+	var list []unassigned
+	for _, cl := range reporters {
+		list = append(list, unassigned{wire.BatchMachine{ID: cl.in.Report.Machine, Addr: cl.in.Report.Addr}, cl.kind})
 	}
-	c.giveHomes(batchHired, list, c.allDemand(), callers)
+	c.assignMachines(batchHired, list, c.allDemand(), reporters)
 }
 
-// homeless is a machine that has no record yet.
-type homeless struct {
+// unassigned is a machine that has no record yet.
+type unassigned struct {
 	wire.BatchMachine
 	kind
 }
 
-// homeListed gives machines a home that the cloud lists as running and that are
+// assignListed assigns machines to shares that the cloud lists as running and that are
 // on no record: those of the start, and any whose reports don't come through. A
 // list lags: a machine that a former leader has just returned must not come back
 // to the record.
-func (c *Core) homeListed(demand map[int]*peer.Demand) {
+func (c *Core) assignListed(demand map[int]*peer.Demand) {
 	f := &c.fleet
 	if !f.first && c.now-f.ledAt <= 2*c.cfg.ListLag+2*micros.Second {
 		return
 	}
-	var list []homeless
+	var list []unassigned
 	for _, id := range f.order {
 		l := f.listed[id]
-		if l.State == wire.MachineRunning && c.mach[id] == nil && !f.homing[id] && !f.returning[id] && f.returned[id] == 0 && wire.UsableKey(id) {
-			list = append(list, homeless{wire.BatchMachine{ID: id, Addr: l.Addr}, kind{l.Type, l.Zone, l.Spot}})
+		if l.State == wire.MachineRunning && c.mach[id] == nil && !f.assigning[id] && !f.returning[id] && f.returned[id] == 0 && wire.UsableKey(id) {
+			list = append(list, unassigned{wire.BatchMachine{ID: id, Addr: l.Addr}, kind{l.Type, l.Zone, l.Spot}})
 		}
 	}
-	c.giveHomes(batchListed, list, demand, nil)
+	c.assignMachines(batchListed, list, demand, nil)
 }
 
-// giveHomes records machines, each with the share that lacks most of its part
+// assignMachines records machines, each with the share that lacks most of its part
 // of the fleet.
-func (c *Core) giveHomes(why string, list []homeless, demand map[int]*peer.Demand, callers []caller) {
+func (c *Core) assignMachines(why string, list []unassigned, demand map[int]*peer.Demand, reporters []reporter) {
 	if len(list) == 0 {
 		return
 	}
@@ -168,7 +168,7 @@
 		}
 	}
 	part := c.parts(demand, total)
-	byShare := map[int][]homeless{}
+	byShare := map[int][]unassigned{}
 	best := -1
 	for _, m := range list {
 		cpus := max(c.types[m.typ].CPUs, 1)
@@ -193,18 +193,18 @@
 			for _, m := range chunk {
 				m.Kind = kindIn(&cr.rec, m.kind)
 				cr.rec.Machines = append(cr.rec.Machines, m.BatchMachine)
-				f.homing[m.ID] = true
-				if i := slices.IndexFunc(callers, func(cl caller) bool { return cl.in.Report.Machine == m.ID }); i >= 0 {
-					cr.callers = append(cr.callers, callers[i])
+				f.assigning[m.ID] = true
+				if i := slices.IndexFunc(reporters, func(cl reporter) bool { return cl.in.Report.Machine == m.ID }); i >= 0 {
+					cr.reporters = append(cr.reporters, reporters[i])
 				}
 			}
-			c.log(Info, "machines homed", "count", len(chunk), "share", s.id)
+			c.log(Info, "machines assigned", "count", len(chunk), "share", s.id)
 			c.sendCreating(cr)
 		}
 	}
 }
 
-func (c *Core) houseCreating() {
+func (c *Core) maintainCreations() {
 	for _, key := range sortedKeys(c.fleet.creating) {
 		c.sendCreating(c.fleet.creating[key])
 	}
@@ -220,13 +220,13 @@
 	over := func() {
 		delete(f.creating, cr.key)
 		for _, m := range cr.rec.Machines {
-			delete(f.homing, m.ID)
+			delete(f.assigning, m.ID)
 		}
 	}
 	c.writeBatches(wire.KeyLeader, mark, []rewrite{{key: cr.key, rec: cr.rec}}, func(ok, _ bool) {
-		callers := cr.callers
-		cr.callers = nil
-		for _, cl := range callers {
+		reporters := cr.reporters
+		cr.reporters = nil
+		for _, cl := range reporters {
 			if ok {
 				c.checkin(cl.in) // which sends it to its owner
 			} else {
--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -69,7 +69,7 @@
 				// It stays, and a move of it under the former mark can't be applied any more,
 				// whoever has rewritten the batch (a machine stood aside for ever after the
 				// leader had, found by the simulation).
-				m.v.leaving = false
+				m.v.releasing = false
 			}
 		case m.batch.mark > mark:
 			continue // moved on since
@@ -112,7 +112,7 @@
 			c.unlisted = append(c.unlisted, m)
 		}
 	}
-	c.dirty = true
+	c.placementDue = true
 }
 
 // dropUnlistedMachines takes notice of machines that stand in no batch any more, once
@@ -162,7 +162,7 @@
 	}
 	c.detach(m)
 	delete(c.mach, m.id)
-	c.dirty = true
+	c.placementDue = true
 }
 
 // dropBatch takes notice that a batch's record was deleted.
@@ -306,7 +306,7 @@
 		}
 		for _, o := range b.list {
 			if o.v != nil {
-				o.v.leaving = false
+				o.v.releasing = false
 			}
 		}
 	})
@@ -359,7 +359,7 @@
 	var ready []*machine
 	for _, id := range r.Machines {
 		m := c.mach[id]
-		if m == nil || m.v == nil || m.v.leaving {
+		if m == nil || m.v == nil || m.v.releasing {
 			continue
 		}
 		s := c.acting(m.rec.Share)
@@ -369,7 +369,7 @@
 		if r.Drain {
 			one := r
 			one.Machines, one.Drain = nil, false // or it would prolong itself
-			m.v.going, m.v.goingTo = one, c.now+4*micros.Second
+			m.v.plannedRelease, m.v.plannedUntil = one, c.now+4*micros.Second
 			if r.Save {
 				c.saveAll(m)
 			}
@@ -384,7 +384,7 @@
 // releasable: nothing is on the machine, and nothing that could come.
 func (c *Core) releasable(m *machine, retire bool) bool {
 	v := m.v
-	return !v.leaving && !v.orderBusy && v.unclear == 0 && (v.settled || v.gone) && v.empty() &&
+	return !v.releasing && !v.orderBusy && v.unclear == 0 && (v.settled || v.gone) && v.empty() &&
 		(retire || !v.gone && v.known) && !c.oversize(m.batch) && !m.batch.busy && c.now >= m.batch.next
 }
 
@@ -458,7 +458,7 @@
 	views := make([]*view, len(going))
 	for i, m := range going {
 		views[i] = m.v
-		m.v.leaving = true
+		m.v.releasing = true
 	}
 	c.writeBatches(ownerKey(s.id), s.mark, parts, func(ok, unclear bool) {
 		if ok {
@@ -469,7 +469,7 @@
 				continue
 			}
 			if !unclear {
-				m.v.leaving = false
+				m.v.releasing = false
 				continue
 			}
 			// The watch shows it if it was applied. A late copy may still come, so
--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -53,7 +53,7 @@
 	soonest := micros.Never
 	for _, m := range s.machines {
 		c.looks++
-		if m.v == nil || !c.usable(m) || m.v.hold.job != nil && c.now < m.v.hold.until || !c.allowed(j, m, zones) || r.fails[m.id] > 0 {
+		if m.v == nil || !c.usable(m) || m.v.reserved.job != nil && c.now < m.v.reserved.until || !c.allowed(j, m, zones) || r.fails[m.id] > 0 {
 			continue
 		}
 		if at := c.roomAfter(j, m); at < soonest {
@@ -64,7 +64,7 @@
 		return
 	}
 	r.keptUntil = c.now + keptForStart
-	best.v.hold = hold{job: j, cpus: j.sub.CPUs, gpus: j.sub.GPUs, mem: j.sub.MemGB, until: r.keptUntil}
+	best.v.reserved = reservation{job: j, cpus: j.sub.CPUs, gpus: j.sub.GPUs, mem: j.sub.MemGB, until: r.keptUntil}
 	c.log(Debug, "room is kept for a job that should have begun", "job", j.id, "machine", best.id, "in_s", soonest.Seconds())
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -204,18 +204,18 @@
 	bounds Bounds
 	rng    *rand.Rand
 
-	now, wall micros.Micros
-	began     micros.Micros
-	out       []Effect
-	deferred  []func()
-	calls     map[uint64]func(Result)
-	nextCall  uint64
-	wake      micros.Micros
-	lastHouse micros.Micros
+	now, wall       micros.Micros
+	began           micros.Micros
+	out             []Effect
+	deferred        []func()
+	calls           map[uint64]func(Result)
+	nextCall        uint64
+	wake            micros.Micros
+	lastMaintenance micros.Micros
 
 	stateq   stateQueue
 	own      ownership
-	ears     ears
+	contact  workerContact
 	jobs     jobTable
 	fleet    fleet
 	peers    map[string]*peerView
@@ -231,20 +231,20 @@
 	lookingUp bool
 	// looks counts machines, jobs and attempts looked at, so that a test can tell
 	// how work grows.
-	looks   uint64
-	scratch []scored
-	types   map[string]wire.MachineType
-	index   typeIndex
-	runs    estimates
-	warm    []warmth
-	heard   map[string]micros.Micros // machines that reported here but belong elsewhere
-
-	teamOf   map[string]int
-	shareOf  []int // by team; nil when jobs are parted
-	attempts uint64
-	dirty    bool // placement has something to look at
-	schedAt  micros.Micros
-	walkAt   micros.Micros // when house looks at all machines and jobs again
+	looks          uint64
+	scratch        []scored
+	types          map[string]wire.MachineType
+	index          typeIndex
+	runs           estimates
+	prefetchImages []prefetchImage
+	heard          map[string]micros.Micros // machines that reported here but belong elsewhere
+
+	teamOf       map[string]int
+	shareOf      []int // by team; nil when jobs are parted
+	attempts     uint64
+	placementDue bool // placement has something to look at
+	placementAt  micros.Micros
+	walkAt       micros.Micros // when maintain looks at all machines and jobs again
 	// behindAt is when this node was last short of time. What it has not heard up to
 	// then says nothing about others.
 	behindAt micros.Micros
@@ -297,12 +297,12 @@
 	if c.began < 0 {
 		c.began = c.now
 		c.stateq.requests.at, c.stateq.writes.at, c.fleet.budget.at = c.now, c.now, c.now
-		c.lastHouse = c.now - micros.Second
+		c.lastMaintenance = c.now - micros.Second
 	}
-	if c.now-c.lastHouse > tooLate {
+	if c.now-c.lastMaintenance > tooLate {
 		c.behindAt = c.now
 	}
-	c.wake = c.houseAt()
+	c.wake = c.nextMaintenance()
 	c.rest(at.Took)
 	switch v := in.(type) {
 	case Tick:
@@ -324,15 +324,15 @@
 			done(v)
 		}
 	}
-	if c.now >= c.houseAt() {
-		c.lastHouse = c.now
-		c.wake = c.now + c.pace()
-		c.house()
+	if c.now >= c.nextMaintenance() {
+		c.lastMaintenance = c.now
+		c.wake = c.now + c.maintenanceInterval()
+		c.maintain()
 	} else {
 		c.follow(&c.own.ctl)
 		c.follow(&c.own.job)
 	}
-	c.wake = min(c.wake, c.houseAt())
+	c.wake = min(c.wake, c.nextMaintenance())
 	c.runDeferred()
 	c.place()
 	c.runDeferred()
@@ -347,31 +347,31 @@
 // to settle, and less often else: each look wakes the process, and what a wake-up
 // costs is most of what a controller takes (docs/account.md).
 const (
-	housekeeping = 100 * micros.Millisecond
-	calmPace     = 300 * micros.Millisecond
+	busyInterval = 100 * micros.Millisecond
+	calmInterval = 300 * micros.Millisecond
 )
 
-// houseAt is when house looks next.
-func (c *Core) houseAt() micros.Micros {
-	at := c.lastHouse + c.pace()
-	if f := &c.fleet; len(f.callers) > 0 {
-		at = min(at, max(f.callNext, c.lastHouse+housekeeping))
+// nextMaintenance is when maintain runs next.
+func (c *Core) nextMaintenance() micros.Micros {
+	at := c.lastMaintenance + c.maintenanceInterval()
+	if f := &c.fleet; len(f.reporters) > 0 {
+		at = min(at, max(f.reportersAt, c.lastMaintenance+busyInterval))
 	}
 	return at
 }
 
-// pace is how often house looks.
-func (c *Core) pace() micros.Micros {
+// maintenanceInterval is how often maintain runs.
+func (c *Core) maintenanceInterval() micros.Micros {
 	o := &c.own
 	if o.lease == 0 || !o.ctl.ready || !o.job.ready || o.leader.mark == 0 || len(c.types) == 0 {
-		return housekeeping
+		return busyInterval
 	}
 	for _, s := range o.shares {
 		if s.mark == 0 || s.active && !(s.settled && s.current && s.loaded) {
-			return housekeeping
+			return busyInterval
 		}
 	}
-	return calmPace
+	return calmInterval
 }
 
 // On a share of a core that does not suffice, work on everything must leave most
@@ -385,7 +385,7 @@
 	mostRest   = 2 * micros.Second
 )
 
-// tooLate: a step that comes so long after housekeeping was last due shows that
+// tooLate: a step that comes so long after maintenance was last due shows that
 // this node had no time, or stood still.
 const tooLate = micros.Second
 
@@ -394,7 +394,7 @@
 	until := c.now + min(restFactor*took, mostRest)
 	if c.placed {
 		c.placed = false
-		c.schedAt = max(c.schedAt, until)
+		c.placementAt = max(c.placementAt, until)
 	}
 	if c.walked {
 		c.walked = false
@@ -436,18 +436,18 @@
 	c.out = append(c.out, Log{Level: l, Text: text, Args: args})
 }
 
-// house does what time alone brings.
-func (c *Core) house() {
-	c.houseOwnership()
-	c.housePeers()
+// maintain does what time alone brings.
+func (c *Core) maintain() {
+	c.maintainOwnership()
+	c.maintainPeers()
 	if c.now < c.walkAt {
 		return
 	}
 	c.walked = true
-	c.houseEars()
-	c.houseMachines()
-	c.houseJobs()
-	c.houseFleet()
+	c.checkWorkerContact()
+	c.maintainMachines()
+	c.maintainJobs()
+	c.maintainFleet()
 }
 
 // jitter spreads d by up to a quarter either way.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -306,7 +306,7 @@
 	sub := jobOf("job-000001", 1)
 	// As if accepted before our claim: its record has a lower mark.
 	h.c.learnJob("job-000001", wire.JobRecord{Submission: &sub, State: wire.StatePending, Tasks: 1}, 1)
-	h.c.dirty = true
+	h.c.placementDue = true
 	h.run(sec)
 	_, body := h.checkin(report("vm-2", 1, 10, other))
 	if len(starts(body.Commands)) != 0 || len(h.orders()) != 0 {
@@ -320,7 +320,7 @@
 	h := newHarness(t, nil)
 	token := h.settle("vm-1")
 	a := h.startOne(token)
-	h.lose, h.deafTo = wire.JobKey("job-000001"), wire.PrefixJob
+	h.lose, h.watchBlocked = wire.JobKey("job-000001"), wire.PrefixJob
 	h.checkin(report("vm-1", 1, 11, token, wire.TaskReport{Task: "job-000001/0", Attempt: a, State: wire.TaskExited, Why: wire.WhyDone}))
 	// Applied, not answered: the store says done, and so must every answer.
 	if s := h.state("job-000001"); s != wire.StateDone {
@@ -334,7 +334,7 @@
 	h := newHarness(t, func(c *Config) { c.Peers = []string{"n-1"}; c.Shares = 1 })
 	sub := jobOf("job-000001", 1)
 	h.put(wire.JobKey("job-000001"), wire.JobRecord{Submission: &sub, State: wire.StatePending, Tasks: 1})
-	h.deafTo = wire.PrefixJob // from here on it hears of no job
+	h.watchBlocked = wire.PrefixJob // from here on it hears of no job
 	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
 	value, err := wire.Encode(wire.JobRecord{State: wire.StateDone, Tasks: 1})
 	if err != nil {
@@ -420,12 +420,12 @@
 	}
 }
 
-// A sick machine is told from a bad job.
+// A faulty machine is told from a bad job.
 func TestFailures(t *testing.T) {
 	for _, tc := range []struct {
 		name     string
 		failures [][2]string // job, machine
-		sick     []string
+		faulty   []string
 		slowed   []string
 		well     int // tasks of job-000001 that have run on elsewhere for a while
 	}{
@@ -453,11 +453,11 @@
 			}
 			for _, id := range []string{"vm-1", "vm-2", "vm-3"} {
 				want := false
-				for _, s := range tc.sick {
+				for _, s := range tc.faulty {
 					want = want || s == id
 				}
-				if v := h.c.mach[id].v; v.sick != want || (v.asideUntil > h.c.now) != want {
-					t.Errorf("%s set aside: %v, want %v", id, v.sick, want)
+				if v := h.c.mach[id].v; v.faulty != want || (v.quarantinedUntil > h.c.now) != want {
+					t.Errorf("%s set aside: %v, want %v", id, v.faulty, want)
 				}
 			}
 			for _, id := range []string{"job-000001", "job-000002"} {
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -83,7 +83,7 @@
 			d.Silent++
 			z.Silent++
 			row.SinceUS = int64(c.unheard(v))
-			if c.mute(v) {
+			if c.leaseRunningOut(v) {
 				row.SinceUS = max(row.SinceUS, int64(c.unanswered(v)))
 			}
 			if r := &v.reach; r.unshown > 0 {
@@ -168,19 +168,19 @@
 		}
 		unused := c.types[m.rec.Type].CPUs - v.sum.cpus
 		switch {
-		case c.usable(m) && v.hold.job != nil && c.now < v.hold.until:
+		case c.usable(m) && v.reserved.job != nil && c.now < v.reserved.until:
 			held += unused
 		case c.usable(m):
 			free += unused
 		case !v.settled || !v.known:
 			unsettled += unused
-		case c.unheard(v) > c.late() || c.outOfReach(m) || c.mute(v):
+		case c.unheard(v) > c.late() || c.outOfReach(m) || c.leaseRunningOut(v):
 			late += unused
 		case v.takenAt != 0:
 			notice += unused
-		case c.now < v.asideUntil || c.now < v.restUntil:
+		case c.now < v.quarantinedUntil || c.now < v.restUntil:
 			aside += unused
-		case v.leaving || c.now < v.goingTo:
+		case v.releasing || c.now < v.plannedUntil:
 			going += unused
 		default:
 			other += unused
@@ -206,12 +206,12 @@
 		return peer.MachineDoubt
 	case v.fresh && c.now-v.since < 4*micros.Minute:
 		return peer.MachineBooting
-	case !v.known && v.settled || v.gone || c.unheard(v) > c.silence() || c.outOfReach(m) || c.mute(v) && v.empty():
+	case !v.known && v.settled || v.gone || c.unheard(v) > c.silence() || c.outOfReach(m) || c.leaseRunningOut(v) && v.empty():
 		return peer.MachineSilent
-	case v.sick && c.now < v.asideUntil || v.takenAt != 0 || c.slowness(m) > 0.4 && v.slowN > 3:
+	case v.faulty && c.now < v.quarantinedUntil || v.takenAt != 0 || c.slowness(m) > 0.4 && v.slowN > 3:
 		return peer.MachineBad
-	case v.leaving || c.now < v.goingTo:
-		return peer.MachineGoing
+	case v.releasing || c.now < v.plannedUntil:
+		return peer.MachineDraining
 	case v.settled && v.empty():
 		return peer.MachineIdle
 	}
--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -25,11 +25,11 @@
 	SuccessorFree micros.Micros
 }
 
-// stretch adds what drift can take away over a span, for both clocks involved.
-func stretch(d micros.Micros) micros.Micros { return d + d*2*driftPPM/1_000_000 + 1 }
+// addDrift adds what drift can take away over a span, for both clocks involved.
+func addDrift(d micros.Micros) micros.Micros { return d + d*2*driftPPM/1_000_000 + 1 }
 
-// shrink takes away what drift can add.
-func shrink(d micros.Micros) micros.Micros { return d - d*2*driftPPM/1_000_000 - 1 }
+// subtractDrift takes away what drift can add.
+func subtractDrift(d micros.Micros) micros.Micros { return d - d*2*driftPPM/1_000_000 - 1 }
 
 // NewBounds works the bounds out. lease is the controllers' lease in the state
 // service, workerLease and cancel are the workers' settings.
@@ -46,11 +46,11 @@
 func NewBounds(lease, workerLease, cancel micros.Micros) Bounds {
 	const margin = 3 * micros.Second
 	const slip = 100 * micros.Millisecond // a step of a timer, an answer on its way out
-	extra := cancel - stretch(workerLease) - margin
+	extra := cancel - addDrift(workerLease) - margin
 	if extra < 0 {
 		extra = 0
 	}
-	answer := shrink(lease) - slip
+	answer := subtractDrift(lease) - slip
 	if answer < 0 {
 		answer = 0
 	}
@@ -60,7 +60,7 @@
 		// What its predecessor told last may be a lease older than the claim, and the
 		// claim as much older than its confirmation.
 		Blind:         max(answer, extra-2*lease),
-		WorkerGone:    stretch(workerLease) + slip,
-		SuccessorFree: stretch(extra+workerLease) + 3*slip,
+		WorkerGone:    addDrift(workerLease) + slip,
+		SuccessorFree: addDrift(extra+workerLease) + 3*slip,
 	}
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -9,9 +9,9 @@
 	"garnethitch/internal/wire"
 )
 
-// fleet is the leader's work: renting, returning and homing machines. It
-// places no tasks. This file keeps what the leader knows; what to rent, home
-// and move is decided in rent.go, home.go and level.go.
+// fleet is the leader's work: renting, returning and assigning machines. It
+// places no tasks. This file keeps what the leader knows; what to rent, assign
+// and move is decided in rent.go, assignment.go and level.go.
 type fleet struct {
 	budget bucket
 
@@ -36,18 +36,18 @@
 	hires   []*hire
 	refused map[kind]*refusal
 
-	rented   map[string]*rented   // rented by this leader, and not on record yet
-	creating map[string]*creating // batches being recorded, by key
-	homing   map[string]bool      // machines in them, or about to be
-	callers  []caller             // machines without a record that have reported
-	callNext micros.Micros        // when they are recorded
-
-	returning map[string]bool
-	returned  map[string]micros.Micros // the cloud has confirmed it
-	asked     map[string]micros.Micros // releases asked for
-	requests  []releaseRequest
-	goingTo   map[string]going
-	planNext  micros.Micros
+	rented      map[string]*rented   // rented by this leader, and not on record yet
+	creating    map[string]*creating // batches being recorded, by key
+	assigning   map[string]bool      // machines in them, or about to be
+	reporters   []reporter           // machines without a record that have reported
+	reportersAt micros.Micros        // when they are recorded
+
+	returning    map[string]bool
+	returned     map[string]micros.Micros // the cloud has confirmed it
+	asked        map[string]micros.Micros // releases asked for
+	requests     []releaseRequest
+	plannedMoves map[string]plannedMove
+	planNext     micros.Micros
 }
 
 // kind is what capacity is counted by.
@@ -67,18 +67,18 @@
 	f.missing = map[string]micros.Micros{}
 	f.refused = map[kind]*refusal{}
 	f.creating = map[string]*creating{}
-	f.homing = map[string]bool{}
+	f.assigning = map[string]bool{}
 	f.rented = map[string]*rented{}
-	f.callers = nil
+	f.reporters = nil
 	f.returning = map[string]bool{}
 	f.returned = map[string]micros.Micros{}
 	f.asked = map[string]micros.Micros{}
-	f.goingTo = map[string]going{}
+	f.plannedMoves = map[string]plannedMove{}
 	f.requests, f.hires = nil, nil
 }
 
 func (c *Core) startLeading() {
-	for _, cl := range c.fleet.callers {
+	for _, cl := range c.fleet.reporters {
 		c.answer(cl.in.Reply, 503, nil, 0)
 	}
 	c.fleet.reset()
@@ -105,25 +105,25 @@
 
 const cloudTimeout = 4 * micros.Second
 
-func (c *Core) houseFleet() {
-	c.houseTypes()
+func (c *Core) maintainFleet() {
+	c.refreshTypes()
 	f := &c.fleet
 	if !c.leading() {
 		// It may lead again under the same mark: the machines must be free to report
 		// again (one stood idle for ever after an outage, found by the simulation).
-		for _, cl := range f.callers {
-			delete(f.homing, cl.in.Report.Machine)
+		for _, cl := range f.reporters {
+			delete(f.assigning, cl.in.Report.Machine)
 			c.answer(cl.in.Reply, 503, nil, 0)
 		}
-		f.callers = nil
+		f.reporters = nil
 		return
 	}
 	for _, h := range slices.Clone(f.hires) {
 		c.sendHire(h)
 	}
-	c.houseList()
-	c.houseCallers()
-	c.houseCreating()
+	c.refreshList()
+	c.recordReporters()
+	c.maintainCreations()
 	if c.now < f.planNext {
 		return
 	}
@@ -131,7 +131,7 @@
 	demand := c.allDemand()
 	c.logRooms()
 	if f.listedAt != 0 && len(c.types) > 0 {
-		c.homeListed(demand)
+		c.assignListed(demand)
 	}
 	c.collect(demand)
 	c.dropGone()
@@ -141,10 +141,10 @@
 	c.sendReleases()
 }
 
-// houseTypes keeps the machine types known: the leader asks the cloud and
+// refreshTypes keeps the machine types known: the leader asks the cloud and
 // leaves them in the state service for the others, so that a node that starts
 // during an outage of the cloud knows them too.
-func (c *Core) houseTypes() {
+func (c *Core) refreshTypes() {
 	f := &c.fleet
 	every := 30 * micros.Second
 	if len(c.types) == 0 {
@@ -183,7 +183,7 @@
 	}
 	c.types = types
 	c.index.names = sortedKeys(types)
-	c.dirty = true
+	c.placementDue = true
 	for _, s := range c.own.shares {
 		s.recount = true
 	}
@@ -208,9 +208,9 @@
 // listPageSize is the largest page that the cloud gives.
 const listPageSize = 500
 
-// houseList keeps the cloud's list of machines. A long list is read less often:
+// refreshList keeps the cloud's list of machines. A long list is read less often:
 // it may take a quarter of the budget, or it would crowd out rentals.
-func (c *Core) houseList() {
+func (c *Core) refreshList() {
 	f := &c.fleet
 	if f.listBusy || c.now < f.listNext {
 		return
@@ -422,7 +422,7 @@
 		v.unclear = 0
 		v.gone, v.settled, v.doubt = true, false, false
 		c.touch(m)
-		c.dirty = true
+		c.placementDue = true
 	}
 }
 
@@ -475,13 +475,13 @@
 	for _, id := range sortedKeys(f.rented) {
 		if r := f.rented[id]; c.mach[id] != nil || f.returned[id] != 0 || c.now-r.at > 5*micros.Minute {
 			delete(f.rented, id)
-		} else if !f.homing[id] {
+		} else if !f.assigning[id] {
 			count++
 			booting += c.types[r.typ].CPUs
 		}
 	}
 	for _, id := range f.order {
-		if l := f.listed[id]; c.mach[id] == nil && f.rented[id] == nil && !f.homing[id] && f.returned[id] == 0 && l.State != wire.MachineFailed {
+		if l := f.listed[id]; c.mach[id] == nil && f.rented[id] == nil && !f.assigning[id] && f.returned[id] == 0 && l.State != wire.MachineFailed {
 			count++
 			booting += c.types[l.Type].CPUs
 		}
@@ -500,7 +500,7 @@
 		w.have += d.CPUs
 		booting += d.Booting
 		for _, m := range d.Machines {
-			if rec := c.mach[m.ID]; rec != nil && m.State == peer.MachineGoing && !rec.rec.Retiring {
+			if rec := c.mach[m.ID]; rec != nil && m.State == peer.MachineDraining && !rec.rec.Retiring {
 				w.have += c.types[rec.rec.Type].CPUs
 			}
 		}
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -101,7 +101,7 @@
 func TestOutgrownWatch(t *testing.T) {
 	for _, status := range []int{410, TooLarge} {
 		h := newHarness(t, nil)
-		h.deafTo = wire.PrefixJob
+		h.watchBlocked = wire.PrefixJob
 		h.submit(jobOf("job-000001", 1))
 		h.put(wire.JobKey("job-000002"), wire.JobRecord{Submission: ptr(jobOf("job-000002", 1)), State: wire.StatePending, Tasks: 1})
 		if h.c.jobs.open["job-000002"] != nil {
@@ -214,7 +214,7 @@
 		rounds, walks := 0, 0
 		for end := h.now + 20*sec; h.now < end; {
 			h.now += 20 * ms
-			h.c.dirty = true
+			h.c.placementDue = true
 			for _, e := range h.c.Step(Instant{Steady: h.now, Wall: h.now, Took: tc.took}, Tick{}) {
 				if call, ok := e.(Call); ok {
 					h.call(call)
@@ -238,7 +238,7 @@
 
 // A controller that has lost the workers lets its duties go; one that is behind
 // itself, or in a fleet that has lost some machines, does not.
-func TestDeaf(t *testing.T) {
+func TestWorkersOutOfReach(t *testing.T) {
 	for _, tc := range []struct {
 		name      string
 		silent    int // of 10 machines
@@ -275,8 +275,8 @@
 					h.checkin(report(machineName(i), 1, seq, tokens[machineName(i)]))
 				}
 			}
-			if h.c.ears.deaf != tc.want {
-				t.Errorf("deaf: %v, want %v", h.c.ears.deaf, tc.want)
+			if h.c.contact.lost != tc.want {
+				t.Errorf("workers out of contact: %v, want %v", h.c.contact.lost, tc.want)
 			}
 		})
 	}
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -45,8 +45,8 @@
 	done []wire.Txn // carried out
 	// listed is what the cloud lists.
 	listed []wire.ListedMachine
-	// deafTo is a prefix whose watches bring nothing.
-	deafTo string
+	// watchBlocked is a prefix whose watches bring nothing.
+	watchBlocked string
 }
 
 func newHarness(t *testing.T, change func(*Config)) *harness {
@@ -85,7 +85,7 @@
 	for i := 0; i < len(h.watches); i++ {
 		w := h.watches[i]
 		req := w.Req.(Watch)
-		if req.Prefix == h.deafTo {
+		if req.Prefix == h.watchBlocked {
 			continue
 		}
 		var events []wire.Event
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -26,17 +26,17 @@
 	// heldMS is when the last so far of the jobs that it needs was done, by the time of
 	// day.
 	heldMS int64
-	// needs are its dependencies that are not done by their records. doomed: one that
-	// it needs, directly or through others, is cancelled.
-	needs   map[string]bool
-	doomed  bool
-	knownAt micros.Micros
-	run     *run    // set at the owner
-	turn    float64 // its place among others of its kind; see queue
-	place   int     // in its share's queue
-	late    bool    // it should have begun; see overdue
-	owed    bool    // within its guarantee, and has waited for half of what it should at most
-	within  bool    // it fits into its team's guarantee; see markGuaranteed
+	// needs are its dependencies that are not done by their records.
+	needs map[string]bool
+	// dependencyCancelled: a job that it needs, directly or through others, is cancelled.
+	dependencyCancelled bool
+	knownAt             micros.Micros
+	run                 *run    // set at the owner
+	turn                float64 // its place among others of its kind; see queue
+	place               int     // in its share's queue
+	late                bool    // it should have begun; see overdue
+	owed                bool    // within its guarantee, and has waited for half of what it should at most
+	within              bool    // it fits into its team's guarantee; see markGuaranteed
 }
 
 // since is the time of day, in milliseconds, from which a job's waiting counts: its
@@ -197,7 +197,7 @@
 		share: c.shareFor(id, team), knownAt: c.now,
 	}
 	c.jobs.open[id] = j
-	c.tie(j)
+	c.linkDependencies(j)
 	if s := c.own.shares[j.share]; s.active {
 		c.startRun(s, j)
 	}
@@ -216,8 +216,8 @@
 		arrival: c.now,
 	}
 	s.queueStale = true
-	if j.doomed {
-		j.run.want = wire.StateCancelled // houseJobs records it
+	if j.dependencyCancelled {
+		j.run.want = wire.StateCancelled // maintainJobs records it
 	}
 	if j.run.fresh {
 		j.run.ready = true
@@ -228,10 +228,10 @@
 		c.applyVersion(s, j)
 		// The job may have become known only now, its tasks long since seen on
 		// settled machines: a node that was cut off from the state service takes
-		// over with an old view. Tie them to the job before any is placed again.
+		// over with an old view. Adopt them for the job before any is placed again.
 		c.readopt(s)
 	}
-	c.dirty = true
+	c.placementDue = true
 }
 
 func (c *Core) stopRun(j *job) {
@@ -337,26 +337,26 @@
 		return
 	}
 	j.run.waiters = append(j.run.waiters, done)
-	c.callOff(j)
+	c.requestCancellation(j)
 	if !j.run.ending && j.run.want == wire.StateCancelled {
 		c.endJob(j, wire.StateCancelled)
 	}
 }
 
-// callOff takes up a user's wish to cancel a job. It is enough to stop the job's
+// requestCancellation takes up a user's request to cancel a job. It is enough to stop the job's
 // tasks, before and whether or not the record stands: nobody has any use for what
 // they do from now on, and another node may tell "cancelled" before this one knows
 // that its record was carried out. The tasks count until they are seen gone, and the
 // owner goes on trying to record.
-func (c *Core) callOff(j *job) {
+func (c *Core) requestCancellation(j *job) {
 	if j.run.want != "" {
 		return
 	}
-	c.log(Info, "job called off by its user", "job", j.id)
+	c.log(Info, "job cancellation requested", "job", j.id)
 	j.run.want = wire.StateCancelled
 	c.haltAll(j)
 	c.own.shares[j.share].queueStale = true
-	c.dirty = true
+	c.placementDue = true
 }
 
 // haltAll stops all of a job's tasks.
@@ -455,12 +455,12 @@
 		return
 	}
 	delete(c.jobs.open, id)
-	c.untie(j)
+	c.unlinkDependencies(j)
 	if f.state == wire.StateCancelled {
 		c.spreadCancelled(id)
 	}
 	if f.state == wire.StateDone {
-		c.noteWarm(j)
+		c.notePrefetchImage(j)
 	}
 	r := j.run
 	if r == nil {
@@ -477,11 +477,11 @@
 	c.haltAll(j)
 	j.run = nil
 	c.own.shares[j.share].queueStale = true
-	c.dirty = true
+	c.placementDue = true
 }
 
-// houseJobs does what is due for jobs: ends to retry, Versions to record.
-func (c *Core) houseJobs() {
+// maintainJobs does what is due for jobs: ends to retry, Versions to record.
+func (c *Core) maintainJobs() {
 	if !c.canAnswer() {
 		return
 	}
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -8,8 +8,8 @@
 	"garnethitch/internal/peer"
 )
 
-// going is a machine on its way to another share, or out.
-type going struct {
+// plannedMove is a machine on its way to another share, or out.
+type plannedMove struct {
 	share  int
 	retire bool
 	until  micros.Micros
@@ -97,13 +97,13 @@
 			}
 			cpus := c.types[rec.rec.Type].CPUs
 			switch {
-			case m.State == peer.MachineGoing:
+			case m.State == peer.MachineDraining:
 				// On its way out already: it counts where it goes.
-				to, ok := c.fleet.goingTo[m.ID]
+				to, ok := c.fleet.plannedMoves[m.ID]
 				switch {
 				case !ok || c.now >= to.until:
 				case !to.retire && waitingCPUs(demand[id]) > 0 && has[id] < part[id]:
-					delete(c.fleet.goingTo, m.ID) // its share needs it again
+					delete(c.fleet.plannedMoves, m.ID) // its share needs it again
 				case to.retire:
 					c.askRelease(m.ID, peer.Release{Retire: true, Drain: true})
 				default:
@@ -162,7 +162,7 @@
 		has[to] += r.cpus
 		lack[to] -= r.cpus
 		if !idle {
-			c.fleet.goingTo[r.ID] = going{share: to, until: c.now + 45*micros.Second}
+			c.fleet.plannedMoves[r.ID] = plannedMove{share: to, until: c.now + 45*micros.Second}
 		}
 		c.askRelease(r.ID, peer.Release{Share: to, Drain: !idle})
 	}
@@ -245,7 +245,7 @@
 		var options []option
 		for i := range d.Machines {
 			m := &d.Machines[i]
-			if m.State == peer.MachineGoing {
+			if m.State == peer.MachineDraining {
 				most--
 			}
 			rec := c.mach[m.ID]
@@ -267,7 +267,7 @@
 			w.have -= o.cpus
 			free -= o.cpus // what it leaves goes into others' room
 			c.log(Info, "emptying a mostly unused machine", "machine", o.ID, "share", id, "busy", o.Busy)
-			c.fleet.goingTo[o.ID] = going{retire: true, until: c.now + 30*micros.Second}
+			c.fleet.plannedMoves[o.ID] = plannedMove{retire: true, until: c.now + 30*micros.Second}
 			c.askRelease(o.ID, peer.Release{Retire: true, Drain: true, Save: true})
 		}
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -47,34 +47,34 @@
 	since    micros.Micros
 	reach    reach
 
-	slots   map[slotKey]*slot
-	list    []*slot           // the same, in the order in which they came up
-	shown   []wire.TaskReport // the list last taken in whole,
-	listed  uint64            // in this round of observe
-	sum     tally
-	stale   bool // sum is to be counted again
-	hold    hold
-	images  map[string]bool
-	idleAt  micros.Micros // when it last had something on it
-	leaving bool          // it is being released
-	going   peer.Release  // it is to be released once it is empty,
-	goingTo micros.Micros // if that is asked for until then
-
-	orderBusy   bool
-	orderQueued bool
-	showBusy    bool
-	orderNext   micros.Micros
-	showNext    micros.Micros
-	unanswered  int    // requests to settle it that were not answered
-	unclear     uint64 // orders up to this token may still act; 0: none
-	warmNext    micros.Micros
-	takenAt     micros.Micros // the cloud takes it away then; 0: no notice
-	failJobs    map[string]int
-	asideUntil  micros.Micros
-	sick        bool
-	slowSum     float64
-	slowN       float64
-	restUntil   micros.Micros // after a disagreement about room
+	slots          map[slotKey]*slot
+	list           []*slot           // the same, in the order in which they came up
+	shown          []wire.TaskReport // the list last taken in whole,
+	listed         uint64            // in this round of observe
+	sum            tally
+	stale          bool // sum is to be counted again
+	reserved       reservation
+	images         map[string]bool
+	idleAt         micros.Micros // when it last had something on it
+	releasing      bool          // it is being released
+	plannedRelease peer.Release  // it is to be released once it is empty,
+	plannedUntil   micros.Micros // if that is asked for until then
+
+	orderBusy        bool
+	orderQueued      bool
+	showBusy         bool
+	orderNext        micros.Micros
+	showNext         micros.Micros
+	unanswered       int    // requests to settle it that were not answered
+	unclear          uint64 // orders up to this token may still act; 0: none
+	prefetchNext     micros.Micros
+	takenAt          micros.Micros // the cloud takes it away then; 0: no notice
+	failJobs         map[string]int
+	quarantinedUntil micros.Micros
+	faulty           bool
+	slowSum          float64
+	slowN            float64
+	restUntil        micros.Micros // after a disagreement about room
 }
 
 // tally is what the attempts on a machine take, and what is to be done about
@@ -88,8 +88,8 @@
 	used                        []usage
 }
 
-// hold keeps room on a machine for a job for which others were stopped there.
-type hold struct {
+// reservation keeps room on a machine for a job for which others were stopped there.
+type reservation struct {
 	job             *job
 	cpus, gpus, mem float64
 	until           micros.Micros
@@ -125,21 +125,21 @@
 // slot is one attempt at a task on one machine. From its making until it is
 // gone it counts against room, limits and placement.
 type slot struct {
-	key     slotKey
-	job     *job // nil: not known (yet)
-	idx     int
-	m       *machine
-	state   slotState
-	sentSeq uint64
-	listed  uint64 // the round of observe that saw it last
-	owned   bool   // it stands in job.run.active
-	since   micros.Micros
-	runAt   micros.Micros // when it was first seen running; 0: not yet
-	halt    int
-	haltAt  micros.Micros
-	warm    bool // a done task run again for its image only; see warm.go
-	why     string
-	acted   bool // exited, and its end is on record or dealt with
+	key      slotKey
+	job      *job // nil: not known (yet)
+	idx      int
+	m        *machine
+	state    slotState
+	sentSeq  uint64
+	listed   uint64 // the round of observe that saw it last
+	owned    bool   // it stands in job.run.active
+	since    micros.Micros
+	runAt    micros.Micros // when it was first seen running; 0: not yet
+	halt     int
+	haltAt   micros.Micros
+	prefetch bool // a done task run again for its image only; see prefetch.go
+	why      string
+	acted    bool // exited, and its end is on record or dealt with
 	// ordered is the token of the direct order that carried the start; 0: none.
 	ordered uint64
 }
@@ -150,7 +150,7 @@
 // process that sent it, has no effect only as long as the attempt is known.
 func (sl *slot) clearable() bool {
 	return sl.state == slotExited && sl.acted &&
-		(sl.ordered == 0 || sl.why == wire.WhyDone || sl.warm || sl.m.v.token > sl.ordered)
+		(sl.ordered == 0 || sl.why == wire.WhyDone || sl.prefetch || sl.m.v.token > sl.ordered)
 }
 
 // empty: nothing on the machine matters any more.
@@ -300,7 +300,7 @@
 		v.fresh = false
 		v.settled = v.settled && (rep.Token == 0 || rep.Token >= c.token(s, m))
 		v.settledAt = c.now
-		c.dirty = true
+		c.placementDue = true
 	}
 	v.known, v.session, v.seq, v.heard = true, rep.Session, rep.Seq, c.now
 	m.session = rep.Session
@@ -316,7 +316,7 @@
 		// The worker has seen a token of this ownership: no older command acts.
 		v.settled, v.settledAt = true, c.now
 		v.gone, v.doubt = false, false
-		c.dirty = true
+		c.placementDue = true
 		c.touch(m)
 		c.log(Debug, "machine settled", "machine", m.id, "tasks", len(rep.Tasks))
 	}
@@ -327,7 +327,7 @@
 				sl.state, sl.sentSeq = slotSent, 0
 			}
 		}
-		c.dirty = true
+		c.placementDue = true
 	}
 	if !c.unchanged(v, rep) {
 		c.takeList(m, rep, checkin)
@@ -450,15 +450,15 @@
 	return now - sl.runAt
 }
 
-// adopt ties tasks found on a machine to their jobs, or stops what should not
+// adopt matches tasks found on a machine with their jobs, or stops what should not
 // be there.
 func (c *Core) adopt(m *machine) {
 	for _, sl := range m.v.each() {
 		if sl.owned || sl.state < slotFetching {
 			continue
 		}
-		if sl.warm {
-			c.warmed(sl)
+		if sl.prefetch {
+			c.notePrefetched(sl)
 			continue
 		}
 		if _, over := c.jobs.final(sl.key.job); over {
@@ -573,7 +573,7 @@
 			c.log(Debug, "task lost, restarting from the newest Version", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
 		}
 	}
-	c.dirty = true
+	c.placementDue = true
 }
 
 // freeAll forgets what was on a machine. Unless ordersVoid, starts in direct
@@ -613,7 +613,7 @@
 // exited deals with the end of an attempt of ours.
 func (c *Core) exited(sl *slot) {
 	j, m := sl.job, sl.m
-	c.dirty = true
+	c.placementDue = true
 	switch sl.why {
 	case wire.WhyDone:
 		if sl.runAt > max(c.behindAt, 0) { // else its end may have been seen late, for lack of time here
@@ -663,8 +663,8 @@
 	}
 }
 
-// houseMachines looks at what time does to machines.
-func (c *Core) houseMachines() {
+// maintainMachines looks at what time does to machines.
+func (c *Core) maintainMachines() {
 	c.orders.budget()
 	for _, s := range c.own.shares {
 		if s.active && !s.current && c.canAnswer() {
@@ -676,13 +676,15 @@
 		c.splitOne(s)
 		var ready []*machine
 		for _, m := range s.machines {
-			if m.v != nil && c.houseMachine(s, m) {
+			if m.v != nil && c.maintainMachine(s, m) {
 				ready = append(ready, m)
 			}
 		}
 		for len(ready) > 0 { // those that go the same way go together
-			to := ready[0].v.going
-			same := func(m *machine) bool { return m.v.going.Retire == to.Retire && m.v.going.Share == to.Share }
+			to := ready[0].v.plannedRelease
+			same := func(m *machine) bool {
+				return m.v.plannedRelease.Retire == to.Retire && m.v.plannedRelease.Share == to.Share
+			}
 			var now, later []*machine
 			for _, m := range ready {
 				if same(m) {
@@ -700,8 +702,8 @@
 	}
 }
 
-// houseMachine looks at one machine, and tells whether it is to be released now.
-func (c *Core) houseMachine(s *share, m *machine) bool {
+// maintainMachine looks at one machine, and tells whether it is to be released now.
+func (c *Core) maintainMachine(s *share, m *machine) bool {
 	v := m.v
 	c.looks++
 	if m.returned {
@@ -720,7 +722,7 @@
 			v.gone, v.settled, v.doubt = true, false, false
 			v.reach = reach{}
 			c.touch(m)
-			c.dirty = true
+			c.placementDue = true
 		}
 	}
 	if !v.settled {
@@ -737,7 +739,7 @@
 	if c.wantsOrder(m) {
 		c.queueOrder(m)
 	}
-	return c.now < v.goingTo && c.releasable(m, v.going.Retire)
+	return c.now < v.plannedUntil && c.releasable(m, v.plannedRelease.Retire)
 }
 
 // maxKept is how many dealt with attempts a machine may go on reporting before
--- a/internal/core/meetings_test.go
+++ b/internal/core/meetings_test.go
@@ -37,8 +37,8 @@
 // The gap: the owner's record of a cancellation is carried out, its answer lost, and
 // the state service refuses the owner from then on. Its machines must let the task go
 // although it can neither read nor watch. Each guard does alone; this case looks at
-// the wish itself: no start follows it, and its tasks are stopped.
-func TestWishIsEnough(t *testing.T) {
+// the request itself: no start follows it, and its tasks are stopped.
+func TestCancellationRequestIsEnough(t *testing.T) {
 	for _, tc := range []struct {
 		name string
 		// trouble comes before the withdrawal, after later.
@@ -48,7 +48,7 @@
 		{"refused before the record", func(h *harness) { h.stateDown, h.refused = true, true }, nil},
 		{"no answer at all", func(h *harness) { h.stateDown = true }, nil},
 		{"carried out, answer lost, then refused", func(h *harness) {
-			h.lose, h.deafTo = wire.JobKey("job-000001"), wire.PrefixJob
+			h.lose, h.watchBlocked = wire.JobKey("job-000001"), wire.PrefixJob
 		}, func(h *harness) { h.stateDown, h.refused = true, true }},
 		{"kept back, then refused", func(h *harness) { h.late = wire.JobKey("job-000001") },
 			func(h *harness) { h.stateDown, h.refused = true, true }},
@@ -97,7 +97,7 @@
 				}
 			}
 			// The owner records by itself once it can.
-			h.stateDown, h.refused, h.deafTo, h.lose, h.late = false, false, "", "", ""
+			h.stateDown, h.refused, h.watchBlocked, h.lose, h.late = false, false, "", "", ""
 			for range 8 {
 				h.giveUp()
 				held := h.held
@@ -144,7 +144,7 @@
 			h.put(wire.JobKey("job-000001"), wire.JobRecord{State: wire.StateCancelled, Tasks: 1})
 		}},
 		{"read for a question, the job never known here", func(h *harness) {
-			h.deafTo = wire.PrefixJob
+			h.watchBlocked = wire.PrefixJob
 			h.put(wire.JobKey("job-000003"), wire.JobRecord{State: wire.StateCancelled, Tasks: 1})
 			h.state("job-000003")
 		}},
@@ -191,7 +191,7 @@
 	if len(h.lateOut) < 2 {
 		t.Fatalf("%d transactions kept back, want some", len(h.lateOut))
 	}
-	h.deafTo, h.stateDown, h.refused = wire.PrefixJob, true, true
+	h.watchBlocked, h.stateDown, h.refused = wire.PrefixJob, true, true
 	h.run(sec / 2)
 	if n := h.carryOut(); n != 1 {
 		t.Fatalf("%d of the copies were carried out, want 1", n)
@@ -224,7 +224,7 @@
 			h := meet(t, withPeer)
 			token, a := h.runOne()
 			if tc.lose {
-				h.lose, h.deafTo = wire.JobKey("job-000001"), wire.PrefixJob
+				h.lose, h.watchBlocked = wire.JobKey("job-000001"), wire.PrefixJob
 			}
 			var first Answer
 			var asked ReplyID
@@ -266,7 +266,7 @@
 	})
 	token := h.settle("vm-1")
 	h.submit(jobOf("job-000001", 1))
-	h.deafTo = wire.PrefixJob
+	h.watchBlocked = wire.PrefixJob
 	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
 	h.run(2 * sec)
 	s := h.c.own.shares[0]
@@ -281,7 +281,7 @@
 			t.Fatalf("%v s after the claim a report got %d", (h.now - s.claimedAt).Seconds(), status)
 		}
 	}
-	h.deafTo = ""
+	h.watchBlocked = ""
 	h.run(2 * sec)
 	if status, _ := h.checkin(report("vm-1", 1, 100, token)); status != 200 {
 		t.Errorf("a report got %d once the view of jobs was brought up", status)
@@ -325,7 +325,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := meet(t, withPeer)
-			h.deafTo = wire.PrefixJob // it hears of no job by itself
+			h.watchBlocked = wire.PrefixJob // it hears of no job by itself
 			h.run(sec)
 			if tc.set != nil {
 				tc.set(h)
@@ -443,7 +443,7 @@
 // A machine that reaches no controller while direct orders reach it gets no more
 // tasks, since they would end with its lease; its done tasks count, and it is not
 // lost as long as it has work that may be completed.
-func TestMuteMachine(t *testing.T) {
+func TestReportsUnanswered(t *testing.T) {
 	h := meet(t, func(c *Config) {
 		withPeer(c)
 		c.WorkerLease = 30 * sec
@@ -503,7 +503,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			h := meet(t, withPeer)
 			token := h.settle("vm-1")
-			h.deafTo = wire.PrefixJob
+			h.watchBlocked = wire.PrefixJob
 			if tc.rec != nil {
 				h.put(wire.JobKey("job-000009"), tc.rec)
 			}
@@ -654,7 +654,7 @@
 
 // Nothing that is withheld stays so for ever: a withdrawal whose record never comes
 // about leaves a job that its next owner runs.
-func TestWishIsForgottenWithItsOwner(t *testing.T) {
+func TestCancellationRequestEndsWithItsOwner(t *testing.T) {
 	h := meet(t, withPeer)
 	token, a := h.runOne()
 	h.stateDown = true
@@ -792,7 +792,7 @@
 
 // A machine reports for the first time just as the leader's lease is over; the leader
 // leads again under the same key. The machine must find a home then.
-func TestCallerAcrossOutage(t *testing.T) {
+func TestReporterAcrossOutage(t *testing.T) {
 	h := meet(t, withPeer)
 	h.c.fleet.rented["vm-7"] = &rented{kind: kind{"m", "a", false}, at: h.now}
 	h.stateDown, h.refused = true, true
@@ -801,8 +801,8 @@
 	}
 	h.ask(func(r ReplyID) Input { return Checkin{Reply: r, Report: report("vm-7", 1, 1, 0)} })
 	h.run(2 * sec)
-	if c := h.c; c.leading() || len(c.fleet.callers) > 0 {
-		t.Fatalf("leading %v, %d callers: the case is not what it should be", c.leading(), len(c.fleet.callers))
+	if c := h.c; c.leading() || len(c.fleet.reporters) > 0 {
+		t.Fatalf("leading %v, %d reporters: the case is not what it should be", c.leading(), len(c.fleet.reporters))
 	}
 	h.stateDown, h.refused = false, false
 	h.run(2 * sec)
@@ -811,7 +811,7 @@
 		h.run(sec)
 	}
 	if h.c.mach["vm-7"] == nil {
-		t.Error("never homed")
+		t.Error("never assigned")
 	}
 }
 
@@ -873,7 +873,7 @@
 	m.batch.next = 0
 	h.c.fleet.planNext = micros.Never
 	h.late = wire.PrefixFleet
-	if h.c.release(peer.Release{Machines: []string{"vm-1"}, Share: 1 - m.rec.Share}); !m.v.leaving {
+	if h.c.release(peer.Release{Machines: []string{"vm-1"}, Share: 1 - m.rec.Share}); !m.v.releasing {
 		t.Fatal("not on its way: the case is not what it should be")
 	}
 	h.step(Tick{})
@@ -889,7 +889,7 @@
 		h.run(2 * sec)
 		h.dropCalls()
 	}
-	if m.v == nil || m.v.leaving || m.v.unclear != 0 {
+	if m.v == nil || m.v.releasing || m.v.unclear != 0 {
 		t.Errorf("%+v: still on its way, though the move can't be applied any more", m.v)
 	}
 	h.lateOut = sent
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -128,7 +128,7 @@
 		}
 		v.orderQueued = false
 		if !v.settled || v.fresh || v.gone || m.returned || v.orderBusy || c.outOfReach(m) || c.now < v.orderNext {
-			continue // houseMachine looks again
+			continue // maintainMachine looks again
 		}
 		if s := c.acting(m.rec.Share); s != nil && c.wantsOrder(m) {
 			c.sendOrder(s, m, c.commands(m, false))
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -146,7 +146,7 @@
 	return c.isMine(&c.own.leader) && c.own.leader.mark != c.own.stepped && c.canAnswer()
 }
 
-func (c *Core) houseOwnership() {
+func (c *Core) maintainOwnership() {
 	o := &c.own
 	switch {
 	case o.lease == 0 && !o.asking:
@@ -206,7 +206,7 @@
 			}
 			o.renewed = max(o.renewed, asked)
 			o.contact = c.now
-			c.dirty = true
+			c.placementDue = true
 		case 404:
 			c.log(Info, "lease lost, giving up all duties", "lease", lease)
 			o.contact = c.now
@@ -455,8 +455,8 @@
 	}
 	c.catchUp(s)
 	c.loadVersions(s, "", map[string]wire.VersionRecord{}, map[string]uint64{})
-	c.houseMachines()
-	c.dirty = true
+	c.maintainMachines()
+	c.placementDue = true
 }
 
 // catchUp brings the view of jobs up to a claim, by one look that does not
@@ -464,7 +464,7 @@
 func (c *Core) catchUp(s *share) {
 	mark, w := s.mark, &c.own.job
 	if !w.ready || s.catching {
-		return // the listing under way comes first; houseMachines asks again
+		return // the listing under way comes first; maintainMachines asks again
 	}
 	s.catching = true
 	// Where the state service is slow, what lets renewals through lets this through.
@@ -483,7 +483,7 @@
 		c.applyEvents(body.Events)
 		w.seenAt = c.now
 		s.current = true
-		c.dirty = true
+		c.placementDue = true
 	})
 }
 
@@ -537,8 +537,8 @@
 	return all
 }
 
-// home is the node that a share belongs to when all are well.
-func (c *Core) home(id int) string {
+// preferredOwner is the node that a share belongs to when all are well.
+func (c *Core) preferredOwner(id int) string {
 	all := c.nodes()
 	return all[id%len(all)]
 }
@@ -565,10 +565,10 @@
 // claimDelay lets the best candidate go first: the node at home, then whoever
 // is alive and holds the least.
 func (c *Core) claimDelay(id int) micros.Micros {
-	home := c.home(id)
+	home := c.preferredOwner(id)
 	const step = 400 * micros.Millisecond
 	delay := micros.Micros(0)
-	if c.ears.deaf {
+	if c.contact.lost {
 		delay = 8 * step // anybody else, please
 	} else if home == c.cfg.Label {
 		return 0
@@ -576,7 +576,7 @@
 	if c.now < c.began+3*micros.Second {
 		delay = 2 * step // the others may be starting as well
 	}
-	if p := c.peers[home]; p != nil && c.alive(p) && !p.deaf {
+	if p := c.peers[home]; p != nil && c.alive(p) && !p.withoutWorkers {
 		delay += step
 	}
 	holds := map[string]int{}
@@ -585,7 +585,7 @@
 	}
 	rank := 0
 	for _, label := range c.nodes() {
-		if p := c.peers[label]; p != nil && c.alive(p) && !p.deaf {
+		if p := c.peers[label]; p != nil && c.alive(p) && !p.withoutWorkers {
 			mine, theirs := holds[c.cfg.Label], holds[label]
 			if theirs < mine || (theirs == mine && label < c.cfg.Label) {
 				rank++
@@ -637,20 +637,20 @@
 		return
 	}
 	for _, s := range c.own.shares {
-		home := c.peers[c.home(s.id)]
-		if !s.active || s.handing || home == nil || !c.alive(home) || !home.stateOK || home.deaf || home.uptime < settledFor ||
+		home := c.peers[c.preferredOwner(s.id)]
+		if !s.active || s.handing || home == nil || !c.alive(home) || !home.stateOK || home.withoutWorkers || home.uptime < settledFor ||
 			c.now < s.claimedAt+settledFor || !c.allSettled(s) {
 			continue
 		}
 		c.own.handedAt = c.now
 		c.log(Info, "handing a share back", "share", s.id, "to", home.label)
-		c.letGo(s)
+		c.releaseShare(s)
 		return
 	}
 }
 
-// letGo stops all acting for a share and deletes its owner key.
-func (c *Core) letGo(s *share) {
+// releaseShare stops all acting for a share and deletes its owner key.
+func (c *Core) releaseShare(s *share) {
 	s.handing = true
 	c.dropRole(&s.role, ownerKey(s.id), s.mark, func() bool { return s.handing })
 }
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -13,16 +13,16 @@
 	label   string
 	heardAt micros.Micros
 	// statusAt is when its last own Status came, beside answers to ours.
-	statusAt micros.Micros
-	uptime   micros.Micros
-	stateOK  bool
-	deaf     bool
-	busy     bool
-	nextAt   micros.Micros
-	demand   []peer.Demand
-	demAt    micros.Micros
-	heard    map[string]bool // machines that tried it of late
-	gone     []string        // returned machines that it has not been told of
+	statusAt       micros.Micros
+	uptime         micros.Micros
+	stateOK        bool
+	withoutWorkers bool
+	busy           bool
+	nextAt         micros.Micros
+	demand         []peer.Demand
+	demAt          micros.Micros
+	heard          map[string]bool // machines that tried it of late
+	gone           []string        // returned machines that it has not been told of
 	// cancelled are jobs of whose cancellation it has not been told.
 	cancelled []string
 }
@@ -82,7 +82,7 @@
 // stateFresh: the state service answered this node of late.
 func (c *Core) stateFresh() bool { return c.now-c.own.contact < 5*micros.Second/2 }
 
-func (c *Core) housePeers() {
+func (c *Core) maintainPeers() {
 	for _, label := range c.cfg.Peers {
 		if p := c.peers[label]; c.now >= p.nextAt && !c.toldEnough(p) {
 			c.sendStatus(p)
@@ -114,7 +114,7 @@
 // about is what this node tells another of itself: the shares for which it acts,
 // and the machines of the other's shares that tried it of late, among the rest.
 func (c *Core) about(p *peerView) peer.About {
-	out := peer.About{UptimeUS: int64(c.now - c.began), StateOK: c.stateFresh(), Deaf: c.ears.deaf}
+	out := peer.About{UptimeUS: int64(c.now - c.began), StateOK: c.stateFresh(), WithoutWorkers: c.contact.lost}
 	for _, s := range c.own.shares {
 		if c.acting(s.id) != nil {
 			out.Owns = append(out.Owns, peer.Owned{Share: s.id, Mark: s.mark})
@@ -133,7 +133,7 @@
 func (c *Core) noteAbout(p *peerView, a *peer.About) (quiet []int) {
 	p.heardAt = c.now
 	p.uptime = micros.Micros(a.UptimeUS)
-	p.stateOK, p.deaf = a.StateOK, a.Deaf
+	p.stateOK, p.withoutWorkers = a.StateOK, a.WithoutWorkers
 	p.heard = map[string]bool{}
 	for _, id := range a.Heard {
 		p.heard[id] = true
@@ -227,7 +227,7 @@
 	j := c.jobs.open[a.ID]
 	if j == nil || !c.speaksFor(j) {
 		if j != nil && a.Cancel {
-			c.heed(j)
+			c.stopCancelledTasks(j)
 		}
 		if j == nil && a.Cancel && wire.ValidID(a.ID) {
 			// The watch may not have brought it yet.
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -21,17 +21,17 @@
 // held: not all that the job needs is done.
 func (j *job) held() bool { return len(j.needs) > 0 }
 
-// tie puts a job that has become known beside those that it needs and those that need
+// linkDependencies puts a job that has become known beside those that it needs and those that need
 // it, and finds out what it inherits from either.
-func (c *Core) tie(j *job) {
-	c.recall(j)
+func (c *Core) linkDependencies(j *job) {
+	c.updatePriority(j)
 	t := &c.jobs
 	delete(t.unknown, j.id)
 	for _, id := range j.sub.Dependencies {
 		f, over := t.final(id)
 		switch {
 		case over && f.state == wire.StateCancelled:
-			c.doom(j)
+			c.markDependencyCancelled(j)
 		case over && f.recorded:
 			j.heldMS = max(j.heldMS, f.endMS)
 			continue
@@ -43,15 +43,15 @@
 		t.dependents[id] = append(t.dependents[id], j)
 		if d := t.open[id]; d == nil {
 			t.unknown[id] = c.now + micros.Second // the watch may yet bring it
-		} else if d.doomed {
-			c.doom(j)
+		} else if d.dependencyCancelled {
+			c.markDependencyCancelled(j)
 		}
 	}
-	c.urge(j)
+	c.propagatePriority(j)
 }
 
-// untie takes a job that is over away from those that it needed.
-func (c *Core) untie(j *job) {
+// unlinkDependencies takes a job that is over away from those that it needed.
+func (c *Core) unlinkDependencies(j *job) {
 	t := &c.jobs
 	for _, id := range j.sub.Dependencies {
 		if !j.needs[id] {
@@ -65,7 +65,7 @@
 			t.dependents[id] = rest
 		}
 	}
-	c.urge(j)
+	c.propagatePriority(j)
 }
 
 // dependencyEnded lets those go on that waited for a job, or cancels them with it.
@@ -73,7 +73,7 @@
 	t := &c.jobs
 	delete(t.unknown, id)
 	if f.state == wire.StateCancelled {
-		c.doom(t.dependents[id]...)
+		c.markDependencyCancelled(t.dependents[id]...)
 		return
 	}
 	waiting := t.dependents[id]
@@ -92,11 +92,11 @@
 			end = c.wall.Millis() // recorded by a version that does not tell
 		}
 		d.heldMS = max(d.heldMS, end)
-		if d.held() || d.doomed || d.run == nil {
+		if d.held() || d.dependencyCancelled || d.run == nil {
 			continue
 		}
 		s := c.own.shares[d.share]
-		s.queueStale, c.dirty = true, true
+		s.queueStale, c.placementDue = true, true
 		d.run.arrival = c.now
 		c.noteArrival(s, d)
 		c.log(Info, "job may start, all that it needs is done", "job", d.id, "after_ms", c.wall.Millis()-end, "class", d.sub.Class, "priority", d.priority)
@@ -108,20 +108,20 @@
 	s.arrivals.add(c.now, float64(j.sub.Tasks)*j.sub.CPUs*c.runs.expect(j.sub).Seconds())
 }
 
-// doom marks jobs as to be cancelled, since one that they need is, and with them all
+// markDependencyCancelled marks jobs as to be cancelled, since one that they need is, and with them all
 // that need them, however deep: none of them can ever start. Each is recorded by its
 // own owner, and called cancelled only then.
-func (c *Core) doom(jobs ...*job) {
+func (c *Core) markDependencyCancelled(jobs ...*job) {
 	n, first := 0, ""
 	for stack := slices.Clone(jobs); len(stack) > 0; {
 		d := stack[len(stack)-1]
 		stack = stack[:len(stack)-1]
-		if d.doomed {
+		if d.dependencyCancelled {
 			continue
 		}
-		d.doomed = true
+		d.dependencyCancelled = true
 		if d.run != nil && d.run.want == "" {
-			d.run.want = wire.StateCancelled // houseJobs records it
+			d.run.want = wire.StateCancelled // maintainJobs records it
 			c.own.shares[d.share].queueStale = true
 			if n++; n == 1 {
 				first = d.id
@@ -141,7 +141,7 @@
 	return slices.ContainsFunc(sub.Dependencies, func(id string) bool {
 		f, over := c.jobs.final(id)
 		d := c.jobs.open[id]
-		return over && f.state == wire.StateCancelled || d != nil && d.doomed
+		return over && f.state == wire.StateCancelled || d != nil && d.dependencyCancelled
 	})
 }
 
@@ -150,8 +150,8 @@
 // view of jobs is new enough to know: after an outage of the state service a
 // cancellation that its user was told of long ago may not have come here yet.
 func (c *Core) mayWait(j *job) bool {
-	if j.doomed || !j.held() {
-		return !j.doomed
+	if j.dependencyCancelled || !j.held() {
+		return !j.dependencyCancelled
 	}
 	w := &c.own.job
 	if !w.ready || c.now-w.seenAt > min(2*watchBlock, c.cfg.Cancel/2) {
@@ -165,10 +165,10 @@
 	return true
 }
 
-// recall sets a job's effective priority and deadline by those that need it, and tells
+// updatePriority sets a job's effective priority and deadline by those that need it, and tells
 // whether they have changed. It may be treated as having the priority of any of them;
 // and where one is due, it must be done as much earlier as that one takes.
-func (c *Core) recall(j *job) bool {
+func (c *Core) updatePriority(j *job) bool {
 	prio, _ := wire.PriorityOf(j.sub.Priority)
 	due := micros.Never
 	if j.sub.DeadlineS != nil {
@@ -188,13 +188,13 @@
 	return true
 }
 
-// urge lets a job's priority and deadline flow up to all that it needs.
-func (c *Core) urge(j *job) {
+// propagatePriority lets a job's priority and deadline flow up to all that it needs.
+func (c *Core) propagatePriority(j *job) {
 	for stack := []*job{j}; len(stack) > 0; {
 		d := stack[len(stack)-1]
 		stack = stack[:len(stack)-1]
 		for id := range d.needs {
-			if up := c.jobs.open[id]; up != nil && c.recall(up) {
+			if up := c.jobs.open[id]; up != nil && c.updatePriority(up) {
 				stack = append(stack, up)
 			}
 		}
@@ -215,7 +215,7 @@
 		if t.reads >= mostReads {
 			return
 		}
-		if c.now < t.unknown[id] || !slices.ContainsFunc(t.dependents[id], func(d *job) bool { return d.run != nil && !d.doomed }) {
+		if c.now < t.unknown[id] || !slices.ContainsFunc(t.dependents[id], func(d *job) bool { return d.run != nil && !d.dependencyCancelled }) {
 			continue
 		}
 		t.unknown[id] = c.now + 2*micros.Second
--- a/internal/core/pipelines_test.go
+++ b/internal/core/pipelines_test.go
@@ -36,8 +36,8 @@
 // A submission may name jobs that were accepted by anybody, in whatever state they
 // are; one that was never accepted, itself included, is 422 after a fresh read only.
 func TestDependenciesAccepted(t *testing.T) {
-	deaf := func(h *harness) {
-		h.deafTo = wire.PrefixJob
+	blocked := func(h *harness) {
+		h.watchBlocked = wire.PrefixJob
 		h.run(sec)
 	}
 	for _, tc := range []struct {
@@ -47,8 +47,8 @@
 		want int
 	}{
 		{"open and known", func(h *harness) { h.submit(jobOf("job-000001", 1)) }, []string{"job-000001"}, 201},
-		{"accepted elsewhere, not heard of", func(h *harness) { deaf(h); h.record(jobOf("job-000001", 1)) }, []string{"job-000001"}, 201},
-		{"done and out of memory", func(h *harness) { deaf(h); h.recordEnd("job-000001", wire.StateDone, 0) }, []string{"job-000001"}, 201},
+		{"accepted elsewhere, not heard of", func(h *harness) { blocked(h); h.record(jobOf("job-000001", 1)) }, []string{"job-000001"}, 201},
+		{"done and out of memory", func(h *harness) { blocked(h); h.recordEnd("job-000001", wire.StateDone, 0) }, []string{"job-000001"}, 201},
 		{"cancelled", func(h *harness) { h.recordEnd("job-000001", wire.StateCancelled, 0) }, []string{"job-000001"}, 201},
 		{"two, one held itself", func(h *harness) {
 			h.submit(jobOf("job-000001", 1))
@@ -239,7 +239,7 @@
 			h.record(sub)
 		}},
 		{"out of memory", func(h *harness, sub wire.Submission) {
-			h.deafTo = wire.PrefixJob
+			h.watchBlocked = wire.PrefixJob
 			h.run(sec)
 			h.c.jobs.most = 1
 			h.recordEnd("job-000001", wire.StateDone, 9_000_000)
@@ -472,14 +472,14 @@
 				h.lose = wire.PrefixFleet
 			}
 			if tc.reverse {
-				h.deafTo = wire.PrefixControl
+				h.watchBlocked = wire.PrefixControl
 			}
 			from := len(h.log)
 			h.c.splitAt = 0
 			h.run(sec)
 			if tc.reverse {
 				slices.Reverse(h.log[from:])
-				h.deafTo = ""
+				h.watchBlocked = ""
 			}
 			h.giveUp()
 			h.run(sec)
@@ -561,11 +561,11 @@
 		lose func(h *harness)
 	}{
 		{"its watch brings nothing", func(h *harness) {
-			h.deafTo = wire.PrefixJob
+			h.watchBlocked = wire.PrefixJob
 			h.run(11 * sec)
 		}},
 		{"it is listing anew", func(h *harness) {
-			h.deafTo = wire.PrefixJob
+			h.watchBlocked = wire.PrefixJob
 			h.c.own.job.ready, h.c.own.job.busy = false, true
 		}},
 		{"the dependency's end is not in memory", func(h *harness) {
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -40,12 +40,12 @@
 
 // place starts waiting tasks where there is room, for every share of this node.
 func (c *Core) place() {
-	if c.dirty {
-		if c.now < c.schedAt {
-			c.wakeIn(c.schedAt - c.now)
+	if c.placementDue {
+		if c.now < c.placementAt {
+			c.wakeIn(c.placementAt - c.now)
 		} else {
-			c.dirty, c.placed = false, true
-			c.schedAt = c.now + placeEvery
+			c.placementDue, c.placed = false, true
+			c.placementAt = c.now + placeEvery
 			for _, s := range c.own.shares {
 				if c.acting(s.id) != nil {
 					c.placeShare(s)
@@ -133,8 +133,8 @@
 // usable: a machine may be given tasks.
 func (c *Core) usable(m *machine) bool {
 	v := m.v
-	return v.settled && v.known && !v.gone && !m.returned && !v.sum.stray && !v.leaving && c.now >= v.goingTo && v.takenAt == 0 &&
-		c.now >= v.asideUntil && c.now >= v.restUntil && c.unheard(v) <= c.late() && !c.outOfReach(m) && !c.mute(v) &&
+	return v.settled && v.known && !v.gone && !m.returned && !v.sum.stray && !v.releasing && c.now >= v.plannedUntil && v.takenAt == 0 &&
+		c.now >= v.quarantinedUntil && c.now >= v.restUntil && c.unheard(v) <= c.late() && !c.outOfReach(m) && !c.leaseRunningOut(v) &&
 		v.sum.tasks < maxTasksPerMachine && c.types[m.rec.Type].CPUs > 0
 }
 
@@ -142,9 +142,9 @@
 // does not count.
 func (c *Core) free(m *machine, j *job) shape {
 	v, room := m.v, c.room(m)
-	if h := &v.hold; h.job != nil && h.job != j {
+	if h := &v.reserved; h.job != nil && h.job != j {
 		if c.now >= h.until || h.job.run == nil || h.job.pending() <= 0 {
-			v.hold = hold{}
+			v.reserved = reservation{}
 			return room
 		}
 		// What is being made free serves the hold first.
@@ -169,7 +169,7 @@
 	s.queue = s.queue[:0]
 	for _, j := range c.jobs.open {
 		// A held job takes no part in anything: no limit, no guarantee, no demand.
-		if j.share == s.id && j.run != nil && !j.held() && !j.doomed {
+		if j.share == s.id && j.run != nil && !j.held() && !j.dependencyCancelled {
 			s.queue = append(s.queue, j)
 		}
 	}
@@ -251,7 +251,7 @@
 // runnable: a job wants tasks started, and they may be.
 func (c *Core) runnable(s *share, j *job) bool {
 	r := j.run
-	return r != nil && r.ready && r.want == "" && j.pending() > 0 && !j.held() && !j.doomed && c.mayStart() &&
+	return r != nil && r.ready && r.want == "" && j.pending() > 0 && !j.held() && !j.dependencyCancelled && c.mayStart() &&
 		j.knownAt <= c.own.renewed+c.bounds.Answer &&
 		// A former owner may have started its tasks on a machine unheard of.
 		(r.fresh || s.current && s.settled)
@@ -286,7 +286,7 @@
 		if m.v == nil || !c.usable(m) {
 			if m.v != nil && m.v.restUntil > c.now {
 				c.wakeIn(m.v.restUntil - c.now)
-				c.dirty = true
+				c.placementDue = true
 			}
 			continue
 		}
@@ -325,7 +325,7 @@
 		}
 		if c.now < r.probeAt {
 			c.wakeIn(r.probeAt - c.now)
-			c.dirty = true
+			c.placementDue = true
 			return
 		}
 	}
@@ -387,7 +387,7 @@
 			// A job that waits for others to be stopped takes what it needs here, or
 			// one further down the line would take what has just come free, and be
 			// stopped for it in turn.
-			if r.lookAt != 0 && v.hold.job == nil && r.arrival+c.patience(j) <= c.now && c.allowed(j, m, c.zonesOf(j)) {
+			if r.lookAt != 0 && v.reserved.job == nil && r.arrival+c.patience(j) <= c.now && c.allowed(j, m, c.zonesOf(j)) {
 				if o := c.offer(j, m); o != nil && o.cost <= c.mostLoss(j) {
 					c.take(j, o)
 				}
@@ -528,10 +528,10 @@
 	if j.run.firstRun == 0 {
 		j.run.firstRun = c.now
 	}
-	if h := &v.hold; h.job == j {
+	if h := &v.reserved; h.job == j {
 		h.cpus, h.gpus, h.mem = h.cpus-j.sub.CPUs, h.gpus-j.sub.GPUs, h.mem-j.sub.MemGB
 		if h.cpus <= eps && h.gpus <= eps && h.mem <= eps {
-			v.hold = hold{}
+			v.reserved = reservation{}
 		}
 	}
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -35,11 +35,11 @@
 	}
 	if wait > 0 {
 		c.wakeIn(wait)
-		c.dirty = true
+		c.placementDue = true
 		return
 	}
 	if c.preempt.looks <= 0 || c.preempt.stops <= 0 {
-		c.dirty = true // in the next round
+		c.placementDue = true // in the next round
 		return
 	}
 	c.preempt.looks--
@@ -56,7 +56,7 @@
 			continue
 		}
 		// Room that is already being made for it serves it first.
-		if hd := &m.v.hold; hd.job == j && c.now < hd.until && j.sub.CPUs > 0 {
+		if hd := &m.v.reserved; hd.job == j && c.now < hd.until && j.sub.CPUs > 0 {
 			need -= int(hd.cpus/j.sub.CPUs + eps)
 			continue
 		} else if hd.job != nil && c.now < hd.until {
@@ -81,7 +81,7 @@
 	}
 	if need > 0 && c.preempt.stops <= 0 {
 		r.lookAt = 0
-		c.dirty = true
+		c.placementDue = true
 	}
 }
 
@@ -111,9 +111,9 @@
 // nothing can be had there. What is held there already comes on top.
 func (c *Core) offer(j *job, m *machine) *offer {
 	v, room, want := m.v, c.room(m), shapeOf(j.sub)
-	held := hold{}
-	if v.hold.job == j && c.now < v.hold.until {
-		held = v.hold
+	held := reservation{}
+	if v.reserved.job == j && c.now < v.reserved.until {
+		held = v.reserved
 	}
 	room = room.plus(shape{v.sum.soonCPUs, v.sum.soonGPUs, v.sum.soonMem}).plus(shape{-held.cpus, -held.gpus, -held.mem})
 	type victim struct {
@@ -129,7 +129,7 @@
 	}
 	var cands []victim
 	for _, sl := range v.list {
-		if sl.job != nil && (sl.owned && sl.job.priority < j.priority || sl.warm) && sl.halt == haltNone && sl.state != slotExited {
+		if sl.job != nil && (sl.owned && sl.job.priority < j.priority || sl.prefetch) && sl.halt == haltNone && sl.state != slotExited {
 			cands = append(cands, victim{sl, c.lossOf(sl)})
 		}
 	}
@@ -165,13 +165,13 @@
 		c.stop(sl, c.haltFor(sl, j))
 		c.log(Debug, "task stopped for a job of higher priority", "task", wire.TaskName(sl.job.id, sl.idx), "machine", o.m.id, "for", j.id)
 	}
-	if v.hold.job != j {
-		v.hold = hold{job: j}
+	if v.reserved.job != j {
+		v.reserved = reservation{job: j}
 	}
-	v.hold.cpus += j.sub.CPUs
-	v.hold.gpus += j.sub.GPUs
-	v.hold.mem += j.sub.MemGB
-	v.hold.until = c.now + holdFor
+	v.reserved.cpus += j.sub.CPUs
+	v.reserved.gpus += j.sub.GPUs
+	v.reserved.mem += j.sub.MemGB
+	v.reserved.until = c.now + holdFor
 	c.refresh(c.own.shares[o.m.rec.Share])
 }
 
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -64,7 +64,7 @@
 		// Its lease ran out although it was answered of late.
 		if c.now-v.answered < c.cfg.WorkerLease-2*c.cfg.ReportEvery && r.unshown > 0 {
 			c.log(Info, "machine reports but does not hear the answers, set aside", "machine", m.id)
-			v.asideUntil = c.now + c.cfg.Quarantine
+			v.quarantinedUntil = c.now + c.cfg.Quarantine
 		}
 		*r = reach{}
 		return
@@ -81,7 +81,7 @@
 		}
 		if r.unshown++; r.unshown == maxUnshown {
 			c.log(Info, "machine reports but is out of reach", "machine", m.id, "tasks", len(rep.Tasks))
-			c.dirty = true
+			c.placementDue = true
 		}
 	}
 }
@@ -91,11 +91,11 @@
 // session in a report, the cloud's return, or the bound since the last answer.
 func (c *Core) outOfReach(m *machine) bool { return m.v.reach.unshown >= maxUnshown }
 
-// mute: the machine answers, but no report of it has come and been answered for so
+// leaseRunningOut: the machine answers, but no report of it has come and been answered for so
 // long that its lease is running out; answers to orders and questions do not renew
 // that. It gets no more tasks: they would end with the lease. Those it has may be
 // completed in time.
-func (c *Core) mute(v *view) bool { return v.known && c.unanswered(v) > c.silence() }
+func (c *Core) leaseRunningOut(v *view) bool { return v.known && c.unanswered(v) > c.silence() }
 
 // unanswered is for how long no report of a machine has been answered.
 func (c *Core) unanswered(v *view) micros.Micros {
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -31,8 +31,8 @@
 		for id := range r.fails {
 			if m := c.mach[id]; m != nil && m.v != nil {
 				delete(m.v.failJobs, j.id)
-				if m.v.sick && len(m.v.failJobs) == 0 {
-					m.v.sick, m.v.asideUntil = false, 0
+				if m.v.faulty && len(m.v.failJobs) == 0 {
+					m.v.faulty, m.v.quarantinedUntil = false, 0
 				}
 			}
 		}
@@ -43,11 +43,11 @@
 		failures += n
 	}
 	if len(v.failJobs) >= 2 || failures >= 2 && c.provenElsewhere(j, sl.m) || failures >= 3 {
-		if !v.sick {
+		if !v.faulty {
 			c.log(Info, "machine set aside, its tasks fail", "machine", sl.m.id, "failures", failures, "jobs", len(v.failJobs))
 		}
-		v.sick = true
-		v.asideUntil = c.now + c.cfg.Quarantine
+		v.faulty = true
+		v.quarantinedUntil = c.now + c.cfg.Quarantine
 		// What still runs there will fail as well.
 		for _, other := range v.each() {
 			if other.owned && other.state == slotAssigned {
@@ -58,9 +58,9 @@
 }
 
 // suspect: the job has failed on several machines and never completed a task.
-// A large array runs on hundreds of machines, some of which may be sick: where
+// A large array runs on hundreds of machines, some of which may be faulty: where
 // more of its tasks have run for longer than it took the others to fail, the job
-// is not at fault (35 good jobs were throttled on a day with 70 sick machines
+// is not at fault (35 good jobs were throttled on a day with 70 faulty machines
 // among 2,000, and 60 in an incident, most of them in their first seconds).
 func (c *Core) suspect(j *job) bool {
 	r := j.run
--- a/internal/core/repeats_test.go
+++ b/internal/core/repeats_test.go
@@ -53,7 +53,7 @@
 	for i := range 3 {
 		tokens[machineName(i)] = h.settle(machineName(i))
 	}
-	check("homing")
+	check("assignment")
 	h.c.fleet.planNext = micros.Never // idle machines stay for now
 	h.submit(jobOf("job-000001", 2))
 	h.submit(jobOf("job-000002", 400))
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -83,7 +83,7 @@
 		before := h.c.looks
 		const turns = 200
 		for i := range turns {
-			h.c.lastHouse = h.now // what time alone brings is counted below
+			h.c.lastMaintenance = h.now // what time alone brings is counted below
 			h.turn(i % machines)
 		}
 		return float64(h.c.looks-before) / turns
@@ -117,7 +117,7 @@
 		tasks = append(tasks, wire.TaskReport{Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, State: wire.TaskRunning})
 	}
 	say := func(tasks []wire.TaskReport) uint64 {
-		h.c.lastHouse, h.c.dirty = h.now, false
+		h.c.lastMaintenance, h.c.placementDue = h.now, false
 		before := h.c.looks
 		h.checkin(report(m.id, v.session, v.seq+1, v.token, tasks...))
 		return h.c.looks - before
@@ -162,11 +162,11 @@
 	busy := newHarness(t, nil)
 	busy.settle("vm-1")
 	busy.c.own.shares[0].settled = false
-	if pace := busy.c.pace(); pace != housekeeping {
+	if pace := busy.c.maintenanceInterval(); pace != busyInterval {
 		t.Errorf("looks every %v while a share is not settled", pace)
 	}
 	busy.c.own.shares[0].settled, busy.c.own.shares[0].mark = true, 0
-	if pace := busy.c.pace(); pace != housekeeping {
+	if pace := busy.c.maintenanceInterval(); pace != busyInterval {
 		t.Errorf("looks every %v while a share has no owner", pace)
 	}
 }
@@ -178,7 +178,7 @@
 		h := bigHarness(t, tc.machines, tc.jobs, tc.tasks)
 		before := h.c.looks
 		h.now += micros.Second
-		h.c.dirty = true
+		h.c.placementDue = true
 		h.step(Tick{})
 		if got, most := h.c.looks-before, uint64(10*tc.machines+3*tc.jobs+100); got > most {
 			t.Errorf("%d machines, %d jobs of %d tasks: a step looks at %d, want at most %d", tc.machines, tc.jobs, tc.tasks, got, most)
@@ -210,7 +210,7 @@
 			b.ResetTimer()
 			for range b.N {
 				h.now += 100 * ms
-				h.c.dirty = true
+				h.c.placementDue = true
 				h.step(Tick{})
 			}
 		})
@@ -256,7 +256,7 @@
 		}
 		before := h.c.looks
 		for i := range 100 {
-			h.c.lastHouse = h.now
+			h.c.lastMaintenance = h.now
 			h.turn(i % 50)
 		}
 		return float64(h.c.looks-before) / 100, float64(len(h.c.queue(h.c.own.shares[0])))
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -172,7 +172,7 @@
 }
 
 // Late copies of reports change nothing: no state, no lease arithmetic, no sign
-// of life, no settling, no homing.
+// of life, no settling, no assignment.
 func TestLateCopies(t *testing.T) {
 	h := newHarness(t, nil)
 	token := h.settle("vm-1")
@@ -231,7 +231,7 @@
 		}
 		delete(h.c.fleet.returned, "vm-8")
 	}
-	// An unlisted machine that answers for itself is homed.
+	// An unlisted machine that answers for itself is assigned.
 	h.checkin(report("vm-8", 1, 5, 0))
 	for _, call := range h.open {
 		if _, ok := call.Req.(Show); ok && call.Addr == "vm-8" {
@@ -241,7 +241,7 @@
 	}
 	h.run(2 * sec)
 	if h.c.mach["vm-8"] == nil {
-		t.Error("a machine that answers for itself was not homed")
+		t.Error("a machine that answers for itself was not assigned")
 	}
 }
 
@@ -326,20 +326,20 @@
 			m.batch.next = 0
 			if tc.lose {
 				h.lose = wire.PrefixFleet
-				h.deafTo = wire.PrefixControl
+				h.watchBlocked = wire.PrefixControl
 			}
 			h.c.fleet.planNext = micros.Never
 			h.c.release(peer.Release{Machines: []string{"vm-1"}, Share: 1 - from})
 			h.step(Tick{})
 			if tc.lose {
-				if v := m.v; !v.leaving {
+				if v := m.v; !v.releasing {
 					t.Error("may be given tasks while its move is open")
 				}
 				h.giveUp()
 				if v := m.v; v == nil || v.unclear == 0 {
 					t.Error("given up as settled although the move may stand")
 				}
-				h.lose, h.deafTo = "", ""
+				h.lose, h.watchBlocked = "", ""
 				h.run(sec)
 			}
 			if got := h.c.mach["vm-1"]; got == nil || got.rec.Share != 1-from {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -60,8 +60,8 @@
 	return false
 }
 
-// tellJob answers a user about a job.
-func (c *Core) tellJob(r ReplyID, id string, a peer.Answer) {
+// answerJob answers a user about a job.
+func (c *Core) answerJob(r ReplyID, id string, a peer.Answer) {
 	switch a.Status {
 	case 200, 201:
 		if a.State == wire.StateCancelled {
@@ -84,7 +84,7 @@
 		c.answer(in.Reply, 404, nil, 0)
 		return
 	}
-	c.jobState(in.ID, func(a peer.Answer) { c.tellJob(in.Reply, in.ID, a) })
+	c.jobState(in.ID, func(a peer.Answer) { c.answerJob(in.Reply, in.ID, a) })
 }
 
 // jobState finds out how a job stands: a final state from anywhere, all else
@@ -196,7 +196,7 @@
 		c.answer(in.Reply, 404, nil, 0)
 		return
 	}
-	c.withdrawJob(in.ID, true, func(a peer.Answer) { c.tellJob(in.Reply, in.ID, a) })
+	c.withdrawJob(in.ID, true, func(a peer.Answer) { c.answerJob(in.Reply, in.ID, a) })
 }
 
 func (c *Core) withdrawJob(id string, look bool, done func(peer.Answer)) {
@@ -228,7 +228,7 @@
 		c.cancelJob(j, done)
 		return
 	}
-	c.heed(j)
+	c.stopCancelledTasks(j)
 	p := c.peers[s.rec.Label]
 	if s.mark == 0 || p == nil {
 		done(peer.Answer{Status: 503})
@@ -242,11 +242,11 @@
 	})
 }
 
-// heed stops the tasks of a job that its user wants cancelled, at an owner that may
+// stopCancelledTasks stops the tasks of a job that its user wants cancelled, at an owner that may
 // still command but can't record or speak.
-func (c *Core) heed(j *job) {
+func (c *Core) stopCancelledTasks(j *job) {
 	if j.run != nil && c.acting(j.share) != nil {
-		c.callOff(j)
+		c.requestCancellation(j)
 	}
 }
 
@@ -259,12 +259,12 @@
 			c.answer(in.Reply, 400, nil, 0)
 			return
 		}
-		c.turnDown(in.Reply, in.Err.ID, 400)
+		c.refuseSubmission(in.Reply, in.Err.ID, 400)
 		return
 	}
 	id := in.Job.ID
 	if c.knows(id) {
-		c.jobState(id, func(a peer.Answer) { c.tellJob(in.Reply, id, a) })
+		c.jobState(id, func(a peer.Answer) { c.answerJob(in.Reply, id, a) })
 		return
 	}
 	if len(c.types) == 0 || !c.own.job.ready {
@@ -272,7 +272,7 @@
 		return
 	}
 	if !c.canRun(&in.Job) {
-		c.turnDown(in.Reply, id, 422)
+		c.refuseSubmission(in.Reply, id, 422)
 		return
 	}
 	if len(c.jobs.open) >= c.cfg.OpenJobs || c.stateQueued() > 40 {
@@ -283,25 +283,25 @@
 		switch status {
 		case 200:
 			c.create(in.Job, func(status int, state string) {
-				c.tellJob(in.Reply, id, peer.Answer{Status: status, State: state})
+				c.answerJob(in.Reply, id, peer.Answer{Status: status, State: state})
 			})
 		case 404:
-			c.turnDown(in.Reply, id, 422)
+			c.refuseSubmission(in.Reply, id, 422)
 		default:
 			c.answer(in.Reply, 503, nil, 1)
 		}
 	})
 }
 
-// turnDown answers a submission that can't be taken, unless its job was accepted
+// refuseSubmission answers a submission that can't be taken, unless its job was accepted
 // before: then it says how that stands.
-func (c *Core) turnDown(r ReplyID, id string, status int) {
+func (c *Core) refuseSubmission(r ReplyID, id string, status int) {
 	c.jobState(id, func(a peer.Answer) {
 		if a.Status == 404 {
 			c.answer(r, status, nil, 0)
 			return
 		}
-		c.tellJob(r, id, a)
+		c.answerJob(r, id, a)
 	})
 }
 
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -23,7 +23,7 @@
 		}
 		body, ok := r.Body.(*wire.KeyList)
 		if !ok || r.Status != 200 {
-			s.loading = false // houseMachines tries again
+			s.loading = false // maintainMachines tries again
 			return
 		}
 		last := ""
@@ -48,7 +48,7 @@
 		}
 		// Machines that settled before could only be noted; look at them again.
 		c.readopt(s)
-		c.dirty = true
+		c.placementDue = true
 	})
 }
 
--- a/internal/core/ears.go
+++ b/internal/core/worker_contact.go
@@ -11,22 +11,22 @@
 // controllers. It then lets its duties go, and takes none on before it reaches
 // machines again.
 
-// ears is whether this node hears the workers.
-type ears struct {
-	deaf   bool
+// workerContact is whether this node hears the workers.
+type workerContact struct {
+	lost   bool
 	next   micros.Micros
 	busy   bool
 	good   int // probes answered in a row
 	lookAt int
 }
 
-func (c *Core) houseEars() {
-	e := &c.ears
+func (c *Core) checkWorkerContact() {
+	e := &c.contact
 	if c.now < e.next {
 		return
 	}
 	e.next = c.now + micros.Second/2
-	if e.deaf {
+	if e.lost {
 		c.probe()
 		return
 	}
@@ -45,7 +45,7 @@
 			}
 			silent++
 			for _, label := range c.cfg.Peers {
-				if p := c.peers[label]; c.alive(p) && !p.deaf && p.heard[m.id] {
+				if p := c.peers[label]; c.alive(p) && !p.withoutWorkers && p.heard[m.id] {
 					elsewhere++
 					break
 				}
@@ -68,10 +68,10 @@
 		return
 	}
 	c.log(Info, "workers are out of reach here, letting duties go", "silent", silent, "machines", all, "elsewhere", elsewhere)
-	e.deaf, e.good = true, 0
+	e.lost, e.good = true, 0
 	for _, s := range c.own.shares {
 		if s.active && !s.handing && c.isMine(&s.role) {
-			c.letGo(s)
+			c.releaseShare(s)
 		}
 	}
 	if l := &c.own.leader; c.isMine(l) {
@@ -82,13 +82,13 @@
 
 // probe asks one machine after the other whether it can be reached again.
 func (c *Core) probe() {
-	e := &c.ears
+	e := &c.contact
 	ids := sortedKeys(c.mach)
 	if e.busy {
 		return
 	}
 	if len(ids) == 0 {
-		e.deaf = false
+		e.lost = false
 		return
 	}
 	e.lookAt = (e.lookAt + 1) % len(ids)
@@ -100,7 +100,7 @@
 			return
 		}
 		if e.good++; e.good >= 3 {
-			e.deaf = false
+			e.lost = false
 			c.log(Info, "workers are within reach again")
 		}
 	})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,10 +29,10 @@
 
 // About is what two controllers tell each other in a Status and in its answer.
 type About struct {
-	UptimeUS int64   `msgpack:"u"`
-	StateOK  bool    `msgpack:"k"`           // the state service answered it of late
-	Deaf     bool    `msgpack:"e,omitempty"` // it does not hear the workers
-	Owns     []Owned `msgpack:"o,omitempty"`
+	UptimeUS       int64   `msgpack:"u"`
+	StateOK        bool    `msgpack:"k"`           // the state service answered it of late
+	WithoutWorkers bool    `msgpack:"e,omitempty"` // it does not hear the workers
+	Owns           []Owned `msgpack:"o,omitempty"`
 	// Heard are machines of the other node's shares that tried this one of late.
 	Heard []string `msgpack:"h,omitempty"`
 }
@@ -113,13 +113,13 @@
 
 // Machine states that an owner reports to the leader.
 const (
-	MachineIdle    = 1 // nothing on it
-	MachineSilent  = 2 // not heard of for a while
-	MachineBad     = 3 // to be replaced: it fails or slows tasks, or is being taken away
-	MachineBusy    = 4
-	MachineGoing   = 5 // it takes no more tasks and leaves once it is empty
-	MachineBooting = 6 // rented, and has not reported yet
-	MachineDoubt   = 7 // on record at a takeover and not settled yet: others' tasks wait for it
+	MachineIdle     = 1 // nothing on it
+	MachineSilent   = 2 // not heard of for a while
+	MachineBad      = 3 // to be replaced: it fails or slows tasks, or is being taken away
+	MachineBusy     = 4
+	MachineDraining = 5 // it takes no more tasks and leaves once it is empty
+	MachineBooting  = 6 // rented, and has not reported yet
+	MachineDoubt    = 7 // on record at a takeover and not settled yet: others' tasks wait for it
 )
 
 // Machine is one machine of a share that the leader should know about.
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -30,7 +30,7 @@
 	// quickUntil: machines are up within two seconds.
 	quickUntil micros.Micros
 
-	Late, Kept, Mute, CalledOff, AtEnd, Looks, Odd, Gaps int
+	Late, Kept, CutReports, Cancelled, AtEnd, Looks, Odd, Gaps int
 }
 
 // lateWrite carries out a transaction without an answer, if it is one of those.
@@ -101,7 +101,7 @@
 		}
 		if running {
 			count--
-			s.meet.CalledOff++
+			s.meet.Cancelled++
 			s.after(s.span(0, 200*ms), u.withdraw)
 		}
 	}
@@ -257,7 +257,7 @@
 	}
 	for _, name := range s.names {
 		w := s.workers[name]
-		if w.dead || w.takenAt != 0 || s.now < w.upAt+10*sec || s.now < w.hungUntil || s.now < w.sickUntil || s.now < w.deafUntil || s.now < w.muteUntil ||
+		if w.dead || w.takenAt != 0 || s.now < w.upAt+10*sec || s.now < w.hungUntil || s.now < w.faultyUntil || s.now < w.unreachableUntil || s.now < w.cutOffUntil ||
 			w.spot && !u.sub.Spot || u.sub.Types != nil && !slices.Contains(u.sub.Types, w.typ) || !w.fits(u) {
 			continue
 		}
@@ -291,19 +291,19 @@
 	return true
 }
 
-// muteSome keeps a part of the machines from reaching any controller, deafSome keeps
+// cutReports keeps a part of the machines from reaching any controller, makeUnreachable keeps
 // what is sent to them from arriving.
-func (s *Sim) muteSome(part float64, d micros.Micros) {
+func (s *Sim) cutReports(part float64, d micros.Micros) {
 	for _, w := range s.some(part) {
-		w.muteUntil = s.now + d
-		s.meet.Mute++
+		w.cutOffUntil = s.now + d
+		s.meet.CutReports++
 	}
 }
 
-func (s *Sim) deafSome(part float64, d micros.Micros) {
+func (s *Sim) makeUnreachable(part float64, d micros.Micros) {
 	for _, w := range s.some(part) {
-		w.deafUntil = s.now + d
-		s.Deaf++
+		w.unreachableUntil = s.now + d
+		s.Unreachable++
 	}
 }
 
@@ -373,7 +373,7 @@
 		},
 		// Workers reach no controller, while orders reach them; a leader changes.
 		func() {
-			s.muteSome(0.5, s.span(lease/2, 2*lease))
+			s.cutReports(0.5, s.span(lease/2, 2*lease))
 			s.after(s.span(0, lease), func() { s.owner().crash(s.span(20*ms, 4*sec)) })
 		},
 		// New machines are up at once while writes lag, and the leader ends.
@@ -404,7 +404,7 @@
 		},
 		// A leader ends while machines can't be reached, or don't hear the new one's answer.
 		func() {
-			s.deafSome(0.4, s.span(lease/2, lease+5*sec))
+			s.makeUnreachable(0.4, s.span(lease/2, lease+5*sec))
 			s.after(s.span(0, 4*sec), func() { s.owner().crash(s.span(20*ms, 5*sec)) })
 		},
 		// Transactions are carried out late, or at once with their answers lost.
@@ -443,7 +443,7 @@
 		n := s.owner()
 		s.meet.Gaps++
 		s.meet.lateShare, s.meet.atOnce, s.meet.lateUntil, s.meet.only = 1, true, s.now+600*ms, n
-		s.State.mutedWatch[n.label] = s.now + 10*sec
+		s.State.watchCutOff[n.label] = s.now + 10*sec
 		s.after(600*ms, func() { s.State.refuse[n.label] = s.now + s.span(3*sec, 8*sec) })
 		s.cancelNow(6, 0)
 		s.after(s.span(1500*ms, 2500*ms), func() { s.State.downUntil = s.now + s.cfg.Cancel + 6*sec })
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -44,8 +44,8 @@
 	waiters   []*waiter
 	downUntil micros.Micros
 	refuse    map[string]micros.Micros
-	// mutedWatch: until then a controller's watches bring nothing.
-	mutedWatch map[string]micros.Micros
+	// watchCutOff: until then a controller's watches bring nothing.
+	watchCutOff map[string]micros.Micros
 	// valueBytes and txnOps bound what is taken; what is larger gets 400.
 	valueBytes, txnOps int
 }
@@ -67,7 +67,7 @@
 }
 
 func newState(s *Sim) *State {
-	st := &State{sim: s, keys: map[string]*entry{}, leases: map[uint64]*lease{}, refuse: map[string]micros.Micros{}, mutedWatch: map[string]micros.Micros{}}
+	st := &State{sim: s, keys: map[string]*entry{}, leases: map[uint64]*lease{}, refuse: map[string]micros.Micros{}, watchCutOff: map[string]micros.Micros{}}
 	s.after(50*ms, st.expire)
 	return st
 }
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -55,23 +55,23 @@
 
 // Sim is one run.
 type Sim struct {
-	plan    Plan
-	rng     *rand.Rand
-	now     micros.Micros
-	queue   events
-	seq     uint64
-	Nodes   []*Node
-	State   *State
-	Cloud   *Cloud
-	workers map[string]*Worker
-	names   []string
-	users   []*user
-	byJob   map[string]*user
-	onJob   map[string]map[*task]*Worker // tasks that workers know of, exited ones included
-	cuts    map[string]cutMode
-	held    map[string][]func()
-	mute    map[string]micros.Micros // machines whose answers to orders are lost
-	cfg     core.Config
+	plan       Plan
+	rng        *rand.Rand
+	now        micros.Micros
+	queue      events
+	seq        uint64
+	Nodes      []*Node
+	State      *State
+	Cloud      *Cloud
+	workers    map[string]*Worker
+	names      []string
+	users      []*user
+	byJob      map[string]*user
+	onJob      map[string]map[*task]*Worker // tasks that workers know of, exited ones included
+	cuts       map[string]cutMode
+	held       map[string][]func()
+	lostOrders map[string]micros.Micros // machines whose answers to orders are lost
+	cfg        core.Config
 	// Broken lists the rules that were broken, with time and circumstances.
 	Broken []string
 	// Started and Finished count tasks.
@@ -79,8 +79,8 @@
 	Restarts          int
 	// Chained counts starts of tasks whose jobs needed others.
 	Chained int
-	// Copies counts late copies of reports, Deaf machines that were out of reach.
-	Copies, Deaf int
+	// Copies counts late copies of reports, Unreachable machines that were out of reach.
+	Copies, Unreachable int
 	// ZoneCuts, Died, Hung and Frozen count what hits many at a time.
 	ZoneCuts, Died, Hung, Frozen int
 	// Waited is the longest that an input had to wait for a slow controller; Wasted
@@ -129,8 +129,8 @@
 	s := &Sim{
 		plan: p, rng: rand.New(rand.NewPCG(p.Seed, 77)), now: sec,
 		workers: map[string]*Worker{}, cuts: map[string]cutMode{}, held: map[string][]func(){},
-		mute:  map[string]micros.Micros{},
-		byJob: map[string]*user{}, onJob: map[string]map[*task]*Worker{},
+		lostOrders: map[string]micros.Micros{},
+		byJob:      map[string]*user{}, onJob: map[string]map[*task]*Worker{},
 	}
 	s.State = newState(s)
 	s.Cloud = newCloud(s)
@@ -562,7 +562,7 @@
 			if call.To == core.ToState && n.sim.lateWrite(n, call) {
 				return
 			}
-			if _, isWatch := call.Req.(core.Watch); isWatch && n.sim.now < n.sim.State.mutedWatch[n.label] {
+			if _, isWatch := call.Req.(core.Watch); isWatch && n.sim.now < n.sim.State.watchCutOff[n.label] {
 				return // what it would bring is lost on the way
 			}
 			n.sim.serve(call, reply)
@@ -607,9 +607,9 @@
 	case core.ToCloud:
 		s.Cloud.serve(call.Req, reply)
 	case core.ToWorker:
-		if w := s.workers[call.Addr]; w != nil && s.now >= w.deafUntil {
+		if w := s.workers[call.Addr]; w != nil && s.now >= w.unreachableUntil {
 			w.serve(call.Req, func(r core.Result) {
-				if s.now >= s.mute[w.id] {
+				if s.now >= s.lostOrders[w.id] {
 					reply(r)
 				}
 			})
@@ -754,7 +754,7 @@
 		case 0: // hangs, and goes on
 			w.hungUntil = s.now + s.pause()
 		case 1: // fails every task
-			w.sickUntil = s.now + 40*sec
+			w.faultyUntil = s.now + 40*sec
 		case 2: // taken away
 			if w.spot {
 				w.notice(s.span(0, 6*sec))
@@ -776,8 +776,8 @@
 	case 16: // reports of some machines arrive; answers and commands don't reach them
 		for range min(len(s.names), 1+s.rng.IntN(4)) {
 			w := s.workers[s.names[s.rng.IntN(len(s.names))]]
-			w.deafUntil = s.now + s.span(4*sec, 30*sec)
-			s.Deaf++
+			w.unreachableUntil = s.now + s.span(4*sec, 30*sec)
+			s.Unreachable++
 		}
 	case 17: // it loses the state service and the others, not its workers
 		s.cut(append(peerLinks, n.label+"-state"), mode, s.span(5*sec, 35*sec))
@@ -793,7 +793,7 @@
 	case 15: // answers of one machine are lost for a while
 		if len(s.names) > 0 {
 			w := s.names[s.rng.IntN(len(s.names))]
-			s.mute[w] = s.now + s.span(2*sec, 10*sec)
+			s.lostOrders[w] = s.now + s.span(2*sec, 10*sec)
 		}
 	}
 }
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -144,15 +144,15 @@
 		s.Run()
 		m := s.meet
 		for _, n := range []struct{ sum, of *int }{
-			{&sum.Late, &m.Late}, {&sum.Kept, &m.Kept}, {&sum.Mute, &m.Mute}, {&sum.CalledOff, &m.CalledOff},
+			{&sum.Late, &m.Late}, {&sum.Kept, &m.Kept}, {&sum.CutReports, &m.CutReports}, {&sum.Cancelled, &m.Cancelled},
 			{&sum.AtEnd, &m.AtEnd}, {&sum.Looks, &m.Looks}, {&sum.Odd, &m.Odd}, {&sum.Gaps, &m.Gaps},
 		} {
 			*n.sum += *n.of
 		}
 	}
 	for name, n := range map[string]int{
-		"writes without an answer": sum.Late, "kept reports": sum.Kept, "mute machines": sum.Mute, "jobs called off": sum.CalledOff,
-		"jobs called off at their end": sum.AtEnd, "close looks": sum.Looks, "odd requests": sum.Odd, "gaps": sum.Gaps,
+		"writes without an answer": sum.Late, "kept reports": sum.Kept, "machines cut off from reporting": sum.CutReports, "jobs cancelled": sum.Cancelled,
+		"jobs cancelled at their end": sum.AtEnd, "close looks": sum.Looks, "odd requests": sum.Odd, "gaps": sum.Gaps,
 	} {
 		if n == 0 {
 			t.Errorf("no %s in eight runs", name)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,21 +11,21 @@
 
 // Worker is a machine with its worker.
 type Worker struct {
-	sim       *Sim
-	id        string
-	typ, zone string
-	spot      bool
-	rate      int64
-	born      micros.Micros
-	upAt      micros.Micros
-	dead      bool
-	returned  bool
-	taken     bool
-	takenAt   micros.Micros
-	hungUntil micros.Micros
-	sickUntil micros.Micros
-	deafUntil micros.Micros // until then nothing that is sent to it arrives
-	muteUntil micros.Micros // until then it reaches no controller
+	sim              *Sim
+	id               string
+	typ, zone        string
+	spot             bool
+	rate             int64
+	born             micros.Micros
+	upAt             micros.Micros
+	dead             bool
+	returned         bool
+	taken            bool
+	takenAt          micros.Micros
+	hungUntil        micros.Micros
+	faultyUntil      micros.Micros
+	unreachableUntil micros.Micros // until then nothing that is sent to it arrives
+	cutOffUntil      micros.Micros // until then it reaches no controller
 
 	session, seq, token uint64
 	began               micros.Micros // of the session, or when the last answered report was sent
@@ -125,13 +125,13 @@
 					u.startedAt = s.now
 				}
 				s.starting(w, t)
-				if s.now < w.sickUntil || u.bad {
+				if s.now < w.faultyUntil || u.bad {
 					t.until = s.now + s.span(200*ms, sec)
 				}
 			}
 			w.changed = true
 		case wire.TaskRunning:
-			if s.now < w.sickUntil || u.bad {
+			if s.now < w.faultyUntil || u.bad {
 				t.state, t.why = wire.TaskExited, wire.WhyError
 			} else {
 				t.state, t.why = wire.TaskExited, wire.WhyDone
@@ -196,14 +196,14 @@
 	rep, sent, session := w.reportBody(), w.clock(), w.session
 	n := s.Nodes[w.node]
 	w.copyLater(rep)
-	if s.now < w.muteUntil {
+	if s.now < w.cutOffUntil {
 		s.after(300*ms, func() { w.busy = false; w.answered(core.Answer{}, false, sent, session) })
 		return
 	}
 	exchange(s, n.label+"-"+w.id, 4*sec,
 		func(reply func(core.Answer)) {
 			n.checkin(rep, func(a core.Answer) {
-				if s.now >= w.deafUntil {
+				if s.now >= w.unreachableUntil {
 					reply(a)
 				}
 			})
