Dependents of a cancelled job are recorded by all controllers, several at a time

Cause: the owner of the dependents recorded them one by one from its third of the write limit, in the queue of other ends: some 430 to 580 fit into cancel_s, and ends waited behind them.

The owner asks the others (a new field of Status; older versions ignore it and the owner does all by itself). Conditions: the job's mark and the claim under which the owner asked; a node that was not asked writes nothing, since the owner might still call the job pending. CancellableDependents works out how many fit; tests take their numbers from it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -217,6 +217,7 @@
 	own      ownership
 	contact  workerContact
 	jobs     jobTable
+	wave     cancellationWave
 	fleet    fleet
 	peers    map[string]*peerView
 	mach     map[string]*machine
@@ -256,6 +257,10 @@
 // settings say nothing.
 const defaultJobs = 20_000
 
+// usedPart is the part of the state service's limits that all controllers together use:
+// its clock and ours may drift apart, and what is sent evenly may arrive in a bunch.
+const usedPart = 0.95
+
 // New makes a core. Equal seeds and inputs give equal effects.
 func New(cfg Config, seed uint64) *Core {
 	cfg.OpenJobs = cmp.Or(cfg.OpenJobs, defaultJobs)
@@ -274,8 +279,8 @@
 		began:   -1, behindAt: -micros.Never,
 	}
 	nodes := float64(len(cfg.Peers) + 1)
-	c.stateq.requests = newBucket(cfg.StateRPS * 0.95 / nodes)
-	c.stateq.writes = newBucket(cfg.WriteRPS * 0.95 / nodes)
+	c.stateq.requests = newBucket(cfg.StateRPS * usedPart / nodes)
+	c.stateq.writes = newBucket(cfg.WriteRPS * usedPart / nodes)
 	for i, t := range cfg.Teams {
 		c.teamOf[t.Name] = i
 	}
@@ -283,6 +288,7 @@
 	c.orders.most = max(cfg.Asks, 8)
 	c.own.init(cfg.Shares)
 	c.jobs.init(c.cfg.FinalJobs)
+	c.wave.init()
 	c.fleet.init(cfg)
 	c.runs.init()
 	for _, p := range cfg.Peers {
--- /dev/null
+++ b/internal/core/dependents.go
@@ -0,0 +1,277 @@
+package core
+
+import (
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// A cancellation reaches every job that needs the cancelled one, directly or through
+// others. Such a dependent has no tasks, so that its record is all there is to write,
+// but there may be more of them than one controller's part of the state service's
+// write limit takes within the time that a cancellation has. Their owner therefore
+// records several in a transaction, behind all that is more urgent, and asks the other
+// controllers to record some of them too.
+//
+// Another controller writes only what the owner asked it to: the owner then knows of
+// the cancellation, and calls the job pending no more, whatever the other one tells a
+// user. The record is conditional on the job's mark and on the claim under which the
+// owner asked, so that a late copy, a second writer or a former owner changes nothing.
+
+const (
+	// maxWaveTransactions bounds the transactions of dependents under way: one waits
+	// for the write limit while another waits for its answer.
+	maxWaveTransactions = 2
+	// waveTimeout is how long such a transaction may wait for both.
+	waveTimeout = 3 * micros.Second
+	// waveWritesPerSecondPart is the part of a second's writes that one transaction
+	// takes at most: what is more urgent waits no longer behind it.
+	waveWritesPerSecondPart = 4
+	// helpFrom is how long an owner would need alone before it asks for help.
+	helpFrom = 3 * micros.Second
+	// maxAskedToRecord bounds the jobs named in one message; it is repeated each second.
+	maxAskedToRecord = 200
+)
+
+// cancellationWave is the work on open jobs that need a cancelled one.
+type cancellationWave struct {
+	// jobs are all of them that this node knows of, whoever owns them.
+	jobs map[string]*job
+	// asked are those that their owners want recorded here, with the mark of the claim
+	// under which each owner asked.
+	asked map[string]uint64
+	// recording are those in transactions under way.
+	recording map[string]bool
+	underWay  int
+	retryAt   micros.Micros
+	// generation rises when this node lets a share go: transactions of before are
+	// waited for no more.
+	generation int
+}
+
+func (w *cancellationWave) init() {
+	w.jobs = map[string]*job{}
+	w.asked = map[string]uint64{}
+	w.recording = map[string]bool{}
+}
+
+// forgetTransactions lets those under way go: their conditions name a claim that is
+// over.
+func (w *cancellationWave) forgetTransactions() {
+	w.generation++
+	w.underWay, w.retryAt = 0, 0
+	clear(w.recording)
+}
+
+// add takes a job whose dependency is cancelled.
+func (w *cancellationWave) add(j *job) { w.jobs[j.id] = j }
+
+// remove forgets a job that is over.
+func (w *cancellationWave) remove(id string) {
+	delete(w.jobs, id)
+	delete(w.asked, id)
+}
+
+// CancellableDependents is how many dependents of a cancelled job are recorded within
+// the time that a cancellation has, with some of the controllers away and the state
+// service down for a while of it. Each takes one write; acceptances and ends of jobs
+// go first and take from that. It is worked out here and nowhere else.
+func CancellableDependents(cfg Config, away int, outage micros.Micros) int {
+	nodes := len(cfg.Peers) + 1
+	// The others learn of the cancellation and are asked within some two statuses; the
+	// shares of a controller that is away wait for its lease and for a claim.
+	available := cfg.Cancel - outage - 3*statusEvery
+	if away > 0 {
+		available -= 2 * cfg.Lease
+	}
+	if available <= 0 || away >= nodes {
+		return 0
+	}
+	rate := cfg.WriteRPS * usedPart * float64(nodes-away) / float64(nodes)
+	return int(rate * available.Seconds())
+}
+
+// recorderOf is the controller that is to record a dependent, where all take part. It
+// does not follow the share of the job, which comes of the same hash.
+func (c *Core) recorderOf(id string) string {
+	nodes := c.nodes()
+	return nodes[hashOf(id)/uint64(c.cfg.Shares)%uint64(len(nodes))]
+}
+
+// recordDependents records the next dependents, as far as the limits allow.
+func (c *Core) recordDependents() {
+	w := &c.wave
+	if len(w.jobs) == 0 || !c.canAnswer() || c.now < w.retryAt {
+		return
+	}
+	todo := c.dependentsToRecord()
+	most := min(c.cfg.TxnOps, int(c.stateq.writes.rate)/waveWritesPerSecondPart+1)
+	for len(todo) > 0 && w.underWay < maxWaveTransactions {
+		first := todo[0]
+		mark := c.claimFor(first)
+		n := 1
+		for n < len(todo) && n < most && todo[n].share == first.share && c.claimFor(todo[n]) == mark {
+			n++
+		}
+		c.recordCancelled(first.share, mark, todo[:n])
+		todo = todo[n:]
+	}
+}
+
+// claimFor is the mark of the claim under which this node records a dependent.
+func (c *Core) claimFor(j *job) uint64 {
+	if c.Owns(j.id) {
+		return c.own.shares[j.share].mark
+	}
+	return c.wave.asked[j.id]
+}
+
+// dependentsToRecord lists the dependents that this node is to record: its part of its
+// own, then what others ask of it, then the rest of its own. The rest comes in reverse
+// order, so that it meets the controllers that were asked for it only at the end.
+func (c *Core) dependentsToRecord() []*job {
+	var own, asked, rest []*job
+	w := &c.wave
+	for _, id := range sortedKeys(w.jobs) {
+		j := w.jobs[id]
+		switch {
+		case w.recording[id]:
+		case !c.Owns(j.id):
+			if _, ok := w.asked[id]; ok && j.run == nil {
+				asked = append(asked, j)
+			}
+		case j.run.ending || c.now < j.run.endNext:
+		case c.recorderOf(id) == c.cfg.Label:
+			own = append(own, j)
+		default:
+			rest = append(rest, j)
+		}
+	}
+	slices.Reverse(rest)
+	return slices.Concat(own, asked, rest)
+}
+
+// recordCancelled records dependents of one share as cancelled, in one transaction.
+func (c *Core) recordCancelled(share int, mark uint64, jobs []*job) {
+	txn := wire.Txn{If: []wire.Condition{{Key: ownerKey(share), Version: mark}}}
+	endMS := c.wall.Millis()
+	for _, j := range jobs {
+		value, err := wire.Encode(wire.JobRecord{AcceptedMS: j.rec.AcceptedMS, State: wire.StateCancelled, Tasks: j.sub.Tasks, EndMS: endMS})
+		if err != nil {
+			c.log(Error, "job record not encoded", "job", j.id, "error", err)
+			return
+		}
+		txn.If = append(txn.If, wire.Condition{Key: wire.JobKey(j.id), Version: j.mark})
+		txn.Then = append(txn.Then, wire.Change{Put: wire.JobKey(j.id), Value: value})
+	}
+	w := &c.wave
+	w.underWay++
+	jobs = slices.Clone(jobs)
+	runs := make([]*run, len(jobs))
+	for i, j := range jobs {
+		runs[i] = j.run
+		w.recording[j.id] = true
+		if j.run != nil {
+			j.run.ending, j.run.endNext = true, micros.Never
+		}
+	}
+	generation := w.generation
+	c.askState(prioDependents, txn, waveTimeout, func(res Result) {
+		current := w.generation == generation
+		if current {
+			w.underWay--
+		}
+		if current && res.Status != 200 && res.Status != 409 {
+			w.retryAt = c.now + c.jitter(400*micros.Millisecond)
+		}
+		failed := failedKeys(res)
+		for i, j := range jobs {
+			if current {
+				delete(w.recording, j.id)
+			}
+			if c.jobs.open[j.id] != j || j.run != runs[i] {
+				continue // over, or in other hands
+			}
+			if res.Status == 200 {
+				c.finishJob(j.id, finalJob{state: wire.StateCancelled, tasks: j.sub.Tasks, recorded: true, endMS: endMS})
+				continue
+			}
+			c.dependentNotRecorded(j, res, slices.Contains(failed, wire.JobKey(j.id)), slices.Contains(failed, ownerKey(share)))
+		}
+		c.recordDependents()
+	})
+}
+
+// failedKeys are the keys whose conditions were not met.
+func failedKeys(res Result) []string {
+	if body, ok := res.Body.(*wire.Revision); ok && res.Status == 409 {
+		return body.Failed
+	}
+	return nil
+}
+
+// dependentNotRecorded deals with a dependent whose transaction did not succeed, or
+// may not have: jobChanged and claimLost say which conditions were not met.
+func (c *Core) dependentNotRecorded(j *job, res Result, jobChanged, claimLost bool) {
+	w := &c.wave
+	r := j.run
+	if r == nil {
+		if jobChanged || claimLost {
+			delete(w.asked, j.id) // its owner asks again if that is still wanted
+		}
+		return
+	}
+	r.ending, r.endNext = false, c.now
+	c.failWaiters(j)
+	switch {
+	case jobChanged:
+		r.ending, r.unsure = true, true
+		c.settleEnd(j, r)
+	case claimLost:
+		r.endNext = c.now + c.jitter(micros.Second) // the watch tells the rest
+	case res.Status == 0 && !res.NotSent:
+		r.unsure = true // a late copy may yet be carried out
+	}
+}
+
+// askedOf are the dependents that another controller is asked to record. None where
+// this one is done with all of them soon.
+func (c *Core) askedOf(p *peerView) (ids []string) {
+	if len(c.wave.jobs) == 0 || !c.canAnswer() {
+		return nil
+	}
+	own := 0
+	for _, id := range sortedKeys(c.wave.jobs) {
+		j := c.wave.jobs[id]
+		if !c.Owns(j.id) {
+			continue
+		}
+		own++
+		if !c.wave.recording[id] && len(ids) < maxAskedToRecord && c.recorderOf(id) == p.label {
+			ids = append(ids, id)
+		}
+	}
+	if float64(own) < c.stateq.writes.rate*helpFrom.Seconds() {
+		return nil
+	}
+	return ids
+}
+
+// askedToRecord takes the dependents that an owner wants recorded, with the shares
+// that it owns. What this node does not know to need a cancelled job is left alone.
+func (c *Core) askedToRecord(ids []string, owns []peer.Owned) {
+	for _, id := range ids {
+		j := c.wave.jobs[id]
+		if j == nil || j.run != nil {
+			continue
+		}
+		for _, o := range owns {
+			if o.Share == j.share {
+				c.wave.asked[id] = o.Mark
+			}
+		}
+	}
+	c.recordDependents()
+}
--- /dev/null
+++ b/internal/core/dependents_test.go
@@ -0,0 +1,251 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// wave is a harness of three controllers that writes as much as it may, with a job and
+// n others that need it; those of before are stored as another node would store them.
+func wave(t *testing.T, n int, writeRPS float64) *harness {
+	h := meet(t, func(c *Config) {
+		c.Peers = []string{"n-1", "n-2"}
+		c.WriteRPS = writeRPS
+	})
+	root := jobOf("job-000100", 1)
+	h.record(root)
+	for i := range n {
+		sub := after(dependentID(i), 1, root.ID)
+		h.txn(wire.Txn{Then: []wire.Change{{Put: wire.JobKey(sub.ID), Value: encoded(t, wire.NewJobRecord(&sub, h.now.Millis()))}}})
+	}
+	h.run(sec)
+	return h
+}
+
+func dependentID(i int) string { return fmt.Sprintf("job-%06d", 1000+i) }
+
+// recorded counts the dependents that stand as cancelled.
+func (h *harness) recorded(n int) (cancelled int) {
+	for i := range n {
+		var rec wire.JobRecord
+		if wire.Decode(h.keys[wire.JobKey(dependentID(i))].Value, &rec) == nil && rec.State == wire.StateCancelled {
+			cancelled++
+		}
+	}
+	return cancelled
+}
+
+// A long list of dependents is recorded several at a time by their owner, which asks
+// the others to take their parts, and does those by itself if they do not.
+func TestDependentsAreRecorded(t *testing.T) {
+	const n = 90
+	h := wave(t, n, 30) // some 10 a second of its own
+	h.told, h.done = nil, nil
+	h.recordEnd("job-000100", wire.StateCancelled, 0)
+	h.run(2 * sec)
+	asked := map[string]bool{}
+	for _, s := range h.told {
+		for _, id := range s.Record {
+			asked[id] = true
+		}
+	}
+	if len(asked) < n/3 || len(asked) > n*5/6 {
+		t.Errorf("the others are asked to record %d of %d, want about two thirds", len(asked), n)
+	}
+	h.run(10 * sec)
+	if got := h.recorded(n); got != n {
+		t.Errorf("%d of %d recorded: nobody helped, and the owner did not go on", got, n)
+	}
+	most := 0
+	for _, txn := range h.done {
+		most = max(most, txn.Writes())
+	}
+	if most < 2 || most > h.c.cfg.TxnOps {
+		t.Errorf("%d changes at most in a transaction", most)
+	}
+	h.run(sec)
+	for _, id := range []string{dependentID(0), dependentID(n - 1)} {
+		if got := h.state(id); got != wire.StateCancelled {
+			t.Errorf("%s is called %q", id, got)
+		}
+	}
+}
+
+// A short list is no matter for others.
+func TestFewDependentsAreNotAskedFor(t *testing.T) {
+	h := wave(t, 6, 30)
+	h.told = nil
+	h.recordEnd("job-000100", wire.StateCancelled, 0)
+	h.run(3 * sec)
+	for _, s := range h.told {
+		if len(s.Record) > 0 {
+			t.Errorf("asked for %v", s.Record)
+		}
+	}
+	if got := h.recorded(6); got != 6 {
+		t.Errorf("%d of 6 recorded", got)
+	}
+}
+
+// A controller records dependents of another's only when their owner asks, only those
+// that it knows to need a cancelled job, and only under the claim of that owner.
+func TestRecordsForAnOwner(t *testing.T) {
+	const n = 6
+	all := func() (ids []string) {
+		for i := range n {
+			ids = append(ids, dependentID(i))
+		}
+		return ids
+	}
+	for _, tc := range []struct {
+		name string
+		play func(h *harness, ask func(mark uint64))
+		want int
+	}{
+		{"asked", func(h *harness, ask func(uint64)) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			ask(h.keys[ownerKey(0)].Version)
+		}, n},
+		{"not asked", func(h *harness, _ func(uint64)) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+		}, 0},
+		{"asked, does not know of the cancellation", func(h *harness, ask func(uint64)) {
+			ask(h.keys[ownerKey(0)].Version)
+		}, 0},
+		{"asked again once it knows", func(h *harness, ask func(uint64)) {
+			ask(h.keys[ownerKey(0)].Version)
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			ask(h.keys[ownerKey(0)].Version)
+		}, n},
+		{"asked by a former owner", func(h *harness, ask func(uint64)) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			old := h.keys[ownerKey(0)].Version
+			h.put(ownerKey(0), wire.OwnerRecord{Label: "n-2", Incarnation: 98})
+			ask(old)
+		}, 0},
+		{"asked by one that names no claim", func(h *harness, ask func(uint64)) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			ask(0)
+		}, 0},
+		{"one was recorded meanwhile", func(h *harness, ask func(uint64)) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			h.watchBlocked = wire.PrefixJob
+			h.put(wire.JobKey(dependentID(2)), wire.JobRecord{State: wire.StateCancelled, Tasks: 1})
+			ask(h.keys[ownerKey(0)].Version)
+			h.run(2 * sec)
+			ask(h.keys[ownerKey(0)].Version)
+		}, n},
+		{"answers are lost", func(h *harness, ask func(uint64)) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			h.lose = wire.PrefixJob
+			ask(h.keys[ownerKey(0)].Version)
+			h.run(sec)
+			h.lose = ""
+			h.giveUp()
+		}, n},
+		{"the state service refuses for a while", func(h *harness, ask func(uint64)) {
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			h.stateDown, h.refused = true, true
+			ask(h.keys[ownerKey(0)].Version)
+			h.run(sec)
+			h.stateDown, h.refused = false, false
+		}, n},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := wave(t, n, 1000)
+			// Another controller owns the share.
+			h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99})
+			h.done = nil
+			tc.play(h, func(mark uint64) {
+				st := &peer.Status{About: peer.About{StateOK: true}, Record: append(all(), "job-000777", "no id")}
+				if mark != 0 {
+					st.Owns = []peer.Owned{{Share: 0, Mark: mark}}
+				}
+				h.ask(func(r ReplyID) Input { return PeerMessage{Reply: r, Req: peer.Request{From: "n-1", Status: st}} })
+				h.run(sec)
+			})
+			h.run(4 * sec)
+			if got := h.recorded(n); got != tc.want {
+				t.Errorf("%d of %d recorded, want %d", got, n, tc.want)
+			}
+			ends := map[string]int{}
+			for _, e := range h.log {
+				var rec wire.JobRecord
+				if strings.HasPrefix(e.Put, wire.PrefixJob) && wire.Decode(e.Value, &rec) == nil && rec.Final() {
+					ends[e.Put]++
+				}
+			}
+			for key, n := range ends {
+				if n > 1 {
+					t.Errorf("the end of %s is written %d times", key, n)
+				}
+			}
+			for _, txn := range h.done {
+				if len(txn.Then) > 0 && strings.HasPrefix(txn.Then[0].Put, wire.PrefixJob) &&
+					!slices.ContainsFunc(txn.If, func(c wire.Condition) bool { return c.Key == ownerKey(0) && c.Version != 0 }) {
+					t.Errorf("recorded without the owner's claim: %v", txn.If)
+				}
+			}
+		})
+	}
+}
+
+// What is more urgent goes on beside a long list of dependents: jobs are accepted, others
+// end, and the lease is renewed.
+func TestDependentsWaitForTheUrgent(t *testing.T) {
+	const n = 200
+	h := wave(t, n, 30)
+	h.recordEnd("job-000100", wire.StateCancelled, 0)
+	h.run(sec)
+	for i := range 5 {
+		id := fmt.Sprintf("job-%06d", 500+i)
+		h.ask(func(r ReplyID) Input { return Submit{Reply: r, Job: jobOf(id, 1)} })
+		reply := h.reply
+		h.run(sec)
+		if a := h.answers[reply]; a.Status != 201 {
+			t.Fatalf("submission beside the list: %d", a.Status)
+		}
+		h.withdraw(id)
+		reply = h.reply
+		h.run(sec)
+		if a := h.answers[reply]; stateOf(a) != wire.StateCancelled {
+			t.Fatalf("withdrawal beside the list: %d %s", a.Status, stateOf(a))
+		}
+	}
+	if !h.c.canAnswer() {
+		t.Error("the lease was not renewed")
+	}
+	if got := h.recorded(n); got == 0 || got == n {
+		t.Errorf("%d of %d recorded: the case is not what it should be", got, n)
+	}
+}
+
+// How many dependents fit into the time of a cancellation.
+func TestCancellableDependents(t *testing.T) {
+	inkingi := Config{Peers: make([]string, 2), WriteRPS: 18, Cancel: 70 * sec, Lease: 4 * sec}
+	for _, tc := range []struct {
+		name   string
+		cfg    Config
+		away   int
+		outage micros.Micros
+		want   int
+	}{
+		{"all controllers", inkingi, 0, 0, 1145},
+		{"one away", inkingi, 1, 0, 672},
+		{"two away", inkingi, 2, 0, 336},
+		{"all away", inkingi, 3, 0, 0},
+		{"an outage of 30 s", inkingi, 0, 30 * sec, 632},
+		{"an outage as long as the time", inkingi, 0, 70 * sec, 0},
+		{"a controller alone", Config{WriteRPS: 40, Cancel: 49 * sec, Lease: 4 * sec}, 0, 0, 1748},
+	} {
+		if got := CancellableDependents(tc.cfg, tc.away, tc.outage); got != tc.want {
+			t.Errorf("%s: %d, want %d", tc.name, got, tc.want)
+		}
+	}
+}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -156,13 +156,16 @@
 	if c.shareOf != nil {
 		return c.shareOf[team]
 	}
-	// FNV-1a with a last mix, so that ids that differ at the end part evenly.
+	return int(hashOf(id) % uint64(c.cfg.Shares))
+}
+
+// hashOf is FNV-1a with a last mix, so that ids that differ at the end part evenly.
+func hashOf(id string) uint64 {
 	h := uint64(14695981039346656037)
 	for i := 0; i < len(id); i++ {
 		h = (h ^ uint64(id[i])) * 1099511628211
 	}
-	h ^= h >> 32
-	return int(h % uint64(c.cfg.Shares))
+	return h ^ h>>32
 }
 
 // learnJob takes a job's record from a watch, a listing, a read or a hint.
@@ -217,7 +220,7 @@
 	}
 	s.queueStale = true
 	if j.dependencyCancelled {
-		j.run.want = wire.StateCancelled // maintainJobs records it
+		j.run.want = wire.StateCancelled // recordDependents records it
 	}
 	if j.run.fresh {
 		j.run.ready = true
@@ -455,6 +458,7 @@
 		return
 	}
 	delete(c.jobs.open, id)
+	c.wave.remove(id)
 	c.unlinkDependencies(j)
 	if f.state == wire.StateCancelled {
 		c.spreadCancelled(id)
@@ -486,6 +490,7 @@
 		return
 	}
 	c.readUnknown()
+	c.recordDependents()
 	var due []*job
 	held := false
 	for _, j := range c.jobs.open {
@@ -494,6 +499,9 @@
 			continue
 		}
 		held = held || j.held()
+		if j.dependencyCancelled && !r.ending {
+			continue // recordDependents does what is due
+		}
 		if r.want != "" && c.now >= r.endNext || r.verDirty && !r.verBusy && c.now >= r.verNext {
 			due = append(due, j)
 		}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -142,6 +142,12 @@
 	return nil
 }
 
+// Owns tells whether this node owns an unfinished job and may command its machines.
+func (c *Core) Owns(id string) bool {
+	j := c.jobs.open[id]
+	return j != nil && j.run != nil && c.acting(j.share) != nil
+}
+
 func (c *Core) leading() bool {
 	return c.isMine(&c.own.leader) && c.own.leader.mark != c.own.stepped && c.canAnswer()
 }
@@ -504,6 +510,7 @@
 	c.log(Info, "share given up", "share", s.id)
 	s.active, s.handing = false, false
 	s.versions, s.verMarks = nil, nil
+	c.wave.forgetTransactions()
 	for _, m := range s.machines {
 		c.setView(m, nil)
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -100,7 +100,7 @@
 // since it has its demand to tell, else the first by name.
 func (c *Core) toldEnough(p *peerView) bool {
 	leader := c.own.leader.rec.Label
-	if c.now-p.statusAt > statusEvery*6/5 || len(p.gone) > 0 || len(p.cancelled) > 0 || leader == p.label || leader != c.cfg.Label && c.cfg.Label < p.label {
+	if c.now-p.statusAt > statusEvery*6/5 || len(p.gone) > 0 || len(p.cancelled) > 0 || len(c.askedOf(p)) > 0 || leader == p.label || leader != c.cfg.Label && c.cfg.Label < p.label {
 		return false
 	}
 	for _, s := range c.own.shares {
@@ -155,6 +155,7 @@
 	}
 	sent := st.Owns
 	st.Gone = p.gone[:min(len(p.gone), maxGone)]
+	st.Record = c.askedOf(p)
 	st.Cancelled = slices.Clone(p.cancelled[:min(len(p.cancelled), maxGone)])
 	told := len(st.Gone)
 	c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Status: st}, Timeout: statusEvery}, func(r Result) {
@@ -195,6 +196,7 @@
 			c.machineReturned(id)
 		}
 		c.toldCancelled(p, req.Status.Cancelled)
+		c.askedToRecord(req.Status.Record, req.Status.Owns)
 		resp.Status = &peer.StatusAck{About: c.about(p), Quiet: quiet}
 	case req.Ask != nil:
 		c.askedAbout(*req.Ask, func(a peer.Answer) {
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -120,8 +120,9 @@
 			continue
 		}
 		d.dependencyCancelled = true
+		c.wave.add(d)
 		if d.run != nil && d.run.want == "" {
-			d.run.want = wire.StateCancelled // maintainJobs records it
+			d.run.want = wire.StateCancelled // recordDependents records it
 			c.own.shares[d.share].queueStale = true
 			if n++; n == 1 {
 				first = d.id
--- a/internal/core/statequeue.go
+++ b/internal/core/statequeue.go
@@ -11,6 +11,7 @@
 	prioAccept
 	prioEnd
 	prioFleet
+	prioDependents
 	prioVersion
 	prioCount
 )
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -100,6 +100,12 @@
 		fresh()
 		return
 	}
+	if j.dependencyCancelled {
+		// It is to be recorded as cancelled, and the watch tells when that stands. Reads
+		// for the users of a thousand such jobs would leave no requests for the records.
+		done(peer.Answer{Status: 503})
+		return
+	}
 	s := c.own.shares[j.share]
 	if c.speaksFor(j) {
 		if j.run.ending || j.run.unsure || !c.mayWait(j) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -46,6 +46,10 @@
 	Gone []string `msgpack:"g,omitempty"`
 	// Cancelled are jobs that the sender knows, by their record, to be cancelled.
 	Cancelled []string `msgpack:"x,omitempty"`
+	// Record are jobs of the sender's shares that need a cancelled one, which it wants
+	// the receiver to record as cancelled. A version that does not know the field
+	// records none, and the sender records them by itself.
+	Record []string `msgpack:"r,omitempty"`
 }
 
 // StatusAck answers a Status. Quiet lists the shares of the Status for which
--- a/internal/standin/pipelines.go
+++ b/internal/standin/pipelines.go
@@ -97,17 +97,26 @@
 	u.submit()
 }
 
-// ancestors are all jobs that a job needs, directly or through others.
-func (u *user) ancestors() (out []*user) {
-	for _, d := range u.needs {
-		out = append(append(out, d), d.ancestors()...)
+// ancestors are all jobs that a job needs, directly or through others, each once: in
+// diamonds there are as many ways to one as two to the power of its distance.
+func (u *user) ancestors() []*user {
+	if u.allNeeded == nil && len(u.needs) > 0 {
+		seen := map[*user]bool{}
+		for _, d := range u.needs {
+			for _, a := range append([]*user{d}, d.ancestors()...) {
+				if !seen[a] {
+					seen[a] = true
+					u.allNeeded = append(u.allNeeded, a)
+				}
+			}
+		}
 	}
-	return out
+	return u.allNeeded
 }
 
 // wasAsked: its user or that of one that it needs has asked to cancel it.
 func (u *user) wasAsked() bool {
-	return u.asked || slices.ContainsFunc(u.needs, (*user).wasAsked)
+	return u.asked || slices.ContainsFunc(u.ancestors(), func(a *user) bool { return a.asked })
 }
 
 // ready is when the last job that it needs was done; ok is false while one is not.
@@ -170,15 +179,18 @@
 		})
 	}
 	s.after(s.span(12*sec, s.rolledAt()+30*sec), func() { // while old nodes run, or later
-		s.trace("the state service lowers its limits")
-		s.State.valueBytes, s.State.txnOps = lowerValue, lowerOps
+		s.lowerLimits()
 	})
 }
 
 // config is what a node is told.
-func (n *Node) config() core.Config {
-	cfg := n.sim.cfg
-	if n.sim.plan.Roll && !n.old {
+func (n *Node) config() core.Config { return n.sim.config(!n.old) }
+
+// config are the settings as the old version or this one takes them: only this one
+// knows of the limits to come.
+func (s *Sim) config(limitsToCome bool) core.Config {
+	cfg := s.cfg
+	if (s.plan.Roll || s.plan.Wave != nil) && limitsToCome {
 		cfg.ValueBytes, cfg.TxnOps, cfg.WriteRPS = lowerValue, lowerOps, lowerWrite
 	}
 	return cfg
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -48,6 +48,10 @@
 	watchCutOff map[string]micros.Micros
 	// valueBytes and txnOps bound what is taken; what is larger gets 400.
 	valueBytes, txnOps int
+	// Refused counts transactions beyond the limit on changes.
+	Refused int
+	// writes bounds the changes in a second; nil: any number.
+	writes *writeLimit
 }
 
 type entry struct {
@@ -208,6 +212,11 @@
 			return
 		}
 	}
+	if st.writes != nil && !st.writes.take(st.sim.now, t.Writes()) {
+		st.Refused++
+		status(429, nil)
+		return
+	}
 	for _, c := range t.If {
 		have := uint64(0)
 		if e := st.keys[c.Key]; e != nil {
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -48,6 +48,8 @@
 	// Roll begins with nodes of the version in production; see pipelines.go.
 	Pipelines int
 	Roll      bool
+	// Wave cancels a job that many others need; see wave.go.
+	Wave *Wave
 	// Length is how long faults and submissions go on; after that all is well
 	// and every job must come to its end within Rest.
 	Length, Rest micros.Micros
@@ -79,6 +81,10 @@
 	Restarts          int
 	// Chained counts starts of tasks whose jobs needed others.
 	Chained int
+	// WaveCancelled counts the jobs of a wave that stand as cancelled at its end.
+	WaveCancelled int
+	// waveAt is when its cancellation is asked for.
+	waveAt micros.Micros
 	// Copies counts late copies of reports, Unreachable machines that were out of reach.
 	Copies, Unreachable int
 	// ZoneCuts, Died, Hung and Frozen count what hits many at a time.
@@ -176,6 +182,9 @@
 		s.after(at, u.submit)
 	}
 	s.newPipelines()
+	if p.Wave != nil {
+		s.newWave(*p.Wave)
+	}
 	s.markLargest()
 	if p.Roll {
 		s.scheduleRoll()
--- a/internal/standin/user.go
+++ b/internal/standin/user.go
@@ -31,6 +31,7 @@
 	doneAt     micros.Micros // when a task of it was last completed
 	tries      int
 	needs      []*user // whose jobs this one depends on
+	allNeeded  []*user // see ancestors
 	// waits is when a task of it was first seen waiting beside free room, without a
 	// start since; started counts starts.
 	waits   micros.Micros
--- /dev/null
+++ b/internal/standin/wave.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"slices"
+
+	"garnethitch/internal/core"
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// A cancellation that reaches many jobs: a plan of its own, since its users, and the
+// limit on writes that they run into, would drown whatever else a run is about.
+
+// WaveShape is how the jobs need each other.
+type WaveShape int
+
+// Shapes of a wave.
+const (
+	// Wide: all need the same job.
+	Wide WaveShape = iota + 1
+	// Deep: each needs the one before it.
+	Deep
+	// Diamonds: pairs that need the one before them both, and one that needs the pair.
+	Diamonds
+)
+
+// WaveTrouble is what happens to the owner of most of the jobs at the cancellation.
+type WaveTrouble int
+
+// Troubles of a wave.
+const (
+	NoTrouble WaveTrouble = iota
+	// OwnerEnds: it is away for longer than its lease.
+	OwnerEnds
+	// OwnerReturns: it ends and is back at once.
+	OwnerReturns
+	// OwnerCutOff: it loses the network.
+	OwnerCutOff
+	// OwnerRefused: the state service refuses it alone.
+	OwnerRefused
+	// LimitsLowered: the state service lowers its limits, for all.
+	LimitsLowered
+)
+
+// Wave plans one cancellation.
+type Wave struct {
+	Shape      WaveShape
+	Dependents int
+	// Middle cancels a job half-way down instead of the first.
+	Middle  bool
+	Trouble WaveTrouble
+	// Limited lowers the limits before the jobs are submitted.
+	Limited bool
+}
+
+// away is how many controllers the trouble takes away for longer than a lease.
+func (w Wave) away() int {
+	switch w.Trouble {
+	case OwnerEnds, OwnerCutOff, OwnerRefused:
+		return 1
+	}
+	return 0
+}
+
+// newWave submits the jobs, and cancels one of them once all are accepted.
+func (s *Sim) newWave(w Wave) {
+	s.State.writes = newWriteLimit(s.cfg.WriteRPS)
+	if w.Limited {
+		s.lowerLimits()
+	}
+	team := s.plan.Teams[0].Name
+	add := func(needs ...*user) *user {
+		u := newUser(s, len(s.users))
+		u.sub.Class, u.sub.Team, u.sub.Priority, u.sub.Tasks = "plain", team, "standard", 1
+		u.sub.CPUs, u.sub.OneZone, u.sub.Apart, u.sub.Types, u.sub.Spot = 1, false, false, nil, true
+		u.bad, u.cancels, u.needs = false, false, needs
+		u.runs, u.progress = []micros.Micros{4 * sec}, make([]micros.Micros, 1)
+		for _, d := range needs {
+			u.sub.Dependencies = append(u.sub.Dependencies, d.sub.ID)
+		}
+		s.users = append(s.users, u)
+		s.byJob[u.sub.ID] = u
+		s.after(s.span(5*sec, 20*sec), func() { u.submitAfter(false) })
+		return u
+	}
+	first := add()
+	first.runs[0] = 5 * micros.Minute // it is not done before it is cancelled
+	members := []*user{first}
+	for last := first; len(members) <= w.Dependents; {
+		switch w.Shape {
+		case Wide:
+			members = append(members, add(first))
+		case Deep:
+			last = add(last)
+			members = append(members, last)
+		case Diamonds:
+			a, b := add(last), add(last)
+			last = add(a, b)
+			members = append(members, a, b, last)
+		}
+	}
+	target := first
+	if w.Middle {
+		target = members[len(members)/2]
+	}
+	s.after(20*sec, func() { s.startWave(w, members, target) })
+}
+
+// startWave cancels a job once all are accepted, and brings the trouble about.
+func (s *Sim) startWave(w Wave, members []*user, target *user) {
+	for _, u := range members {
+		if !u.accepted {
+			s.after(200*ms, func() { s.startWave(w, members, target) })
+			return
+		}
+	}
+	s.trace("all accepted, %s is cancelled", target.sub.ID)
+	owner := s.ownerOf(members[len(members)-1])
+	s.waveAt = s.now
+	target.withdraw()
+	s.after(s.span(0, 300*ms), func() { s.bringAbout(w.Trouble, owner) })
+	s.checkWave(members, target)
+}
+
+// bringAbout lets a wave's trouble happen to a controller.
+func (s *Sim) bringAbout(trouble WaveTrouble, n *Node) {
+	switch trouble {
+	case OwnerEnds:
+		n.crash(15 * sec)
+	case OwnerReturns:
+		n.crash(200 * ms)
+	case OwnerCutOff:
+		links := []string{n.label + "-state", n.label + "-cloud", "user-" + n.label}
+		for _, o := range s.Nodes {
+			if o != n {
+				links = append(links, n.peerLink(o.label))
+			}
+		}
+		for _, name := range s.names {
+			links = append(links, n.label+"-"+name)
+		}
+		s.cut(links, cutHold, 15*sec)
+	case OwnerRefused:
+		s.State.refuse[n.label] = s.now + 15*sec
+	case LimitsLowered:
+		s.lowerLimits()
+	}
+}
+
+// lowerLimits gives the state service its lower limits.
+func (s *Sim) lowerLimits() {
+	s.trace("the state service lowers its limits")
+	s.State.valueBytes, s.State.txnOps = lowerValue, lowerOps
+	if s.State.writes != nil {
+		s.State.writes.rate = lowerWrite
+	}
+}
+
+// ownerOf is the controller that owns a job's share, as far as the state service knows.
+func (s *Sim) ownerOf(u *user) *Node {
+	for _, n := range s.Nodes {
+		if n.core != nil && n.core.Owns(u.sub.ID) {
+			return n
+		}
+	}
+	return s.Nodes[0]
+}
+
+// checkWave: when the time of the cancellation is over, all that need the job stand as
+// cancelled, and nothing else does.
+func (s *Sim) checkWave(members []*user, target *user) {
+	if target.cancelTold == 0 {
+		s.after(100*ms, func() { s.checkWave(members, target) })
+		return
+	}
+	s.after(target.cancelTold+s.cfg.Cancel-s.now, func() {
+		late := 0
+		for _, u := range members {
+			cancelled := s.recordOf(u).State == wire.StateCancelled
+			wanted := u == target || slices.Contains(u.ancestors(), target)
+			if wanted && !cancelled {
+				late++
+			}
+			if cancelled && !wanted {
+				s.broken("went_back: %s is cancelled, nothing that it needs is", u.sub.ID)
+			}
+			if cancelled {
+				s.WaveCancelled++
+			}
+		}
+		if late > 0 {
+			s.broken("orphaned: %d of %d jobs are not cancelled %v s after the one that they need", late, len(members), s.cfg.Cancel.Seconds())
+		}
+		members[0].withdraw() // what is left would take hours to run in order
+	})
+}
+
+// recordOf is a job's record in the state service.
+func (s *Sim) recordOf(u *user) (rec wire.JobRecord) {
+	if e := s.State.keys[wire.JobKey(u.sub.ID)]; e != nil {
+		if err := wire.Decode(e.value, &rec); err != nil {
+			s.broken("record of %s: %v", u.sub.ID, err)
+		}
+	}
+	return rec
+}
+
+// writeLimit is the state service's limit on changes: bursts of a second's worth.
+type writeLimit struct {
+	rate, level float64
+	at          micros.Micros
+}
+
+func newWriteLimit(rate float64) *writeLimit { return &writeLimit{rate: rate, level: rate} }
+
+// take tells whether so many changes may be made now, and counts them.
+func (l *writeLimit) take(now micros.Micros, writes int) bool {
+	l.level = min(l.rate, l.level+l.rate*(now-l.at).Seconds())
+	l.at = now
+	if l.level < float64(writes) {
+		return false
+	}
+	l.level -= float64(writes)
+	return true
+}
+
+// bound is how many dependents the settings allow for a wave.
+func (s *Sim) bound(w Wave) int {
+	cfg := s.config(true)
+	cfg.Peers = make([]string, s.plan.Nodes-1)
+	return core.CancellableDependents(cfg, w.away(), 0)
+}
