--- a/internal/core/compat_test.go
+++ b/internal/core/compat_test.go
@@ -12,11 +12,16 @@
 	"garnethitch/internal/wire"
 )
 
-// What the version in production writes, read by this one, and the reverse. The
-// samples were written by that version; see testdata/production.
+// What older versions that may run beside this one write, read by this one, and the
+// reverse. The samples were written by those versions; see testdata.
 
-func productionSamples(t *testing.T) map[string]map[string][]byte {
-	text, err := os.ReadFile("testdata/production/samples.json")
+const (
+	production = "025d571"
+	lastLanded = "040d356"
+)
+
+func samplesOf(t *testing.T, version string) map[string]map[string][]byte {
+	text, err := os.ReadFile("testdata/" + version + "/samples.json")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -62,6 +67,16 @@
 		SaveS       float64  `cbor:"stowS"`
 		DeadlineS   *float64 `cbor:"dueS"`
 	}
+	oldStatus struct {
+		peer.About `msgpack:",inline"`
+		Demand     []peer.Demand `msgpack:"d,omitempty"`
+		Gone       []string      `msgpack:"g,omitempty"`
+		Cancelled  []string      `msgpack:"x,omitempty"`
+	}
+	oldRequest struct {
+		From   string     `msgpack:"f"`
+		Status *oldStatus `msgpack:"s,omitempty"`
+	}
 	oldJobRecord struct {
 		Submission *oldSubmission `cbor:"sub,omitempty"`
 		AcceptedMS int64          `cbor:"at"`
@@ -70,10 +85,26 @@
 	}
 )
 
-// Every record and message of the version in production is read whole: written again
-// by this version it is the same, byte for byte.
-func TestProductionIsRead(t *testing.T) {
-	samples := productionSamples(t)
+// Every record and message of older versions is read whole: written again by this
+// version it is the same, byte for byte.
+func TestOlderVersionsAreRead(t *testing.T) {
+	for _, version := range []string{production, lastLanded} {
+		t.Run(version, func(t *testing.T) { readAll(t, version) })
+	}
+}
+
+func readAll(t *testing.T, version string) {
+	samples := samplesOf(t, version)
+	if version == lastLanded {
+		var rec wire.JobRecord
+		if err := wire.Decode(samples["records"]["job chained"], &rec); err != nil || rec.Chained == nil || len(rec.Chained.Dependencies) != 2 {
+			t.Errorf("a chained job is read as %+v, %v", rec, err)
+		}
+		if again := encoded(t, rec); string(again) != string(samples["records"]["job chained"]) {
+			t.Errorf("a chained job is written again as %x", again)
+		}
+		delete(samples["records"], "job chained")
+	}
 	for name, into := range map[string]any{
 		"owner": &wire.OwnerRecord{}, "types": &wire.MachineTypes{}, "batch": &wire.BatchRecord{},
 		"job pending": &wire.JobRecord{}, "job pending plain": &wire.JobRecord{}, "job done": &wire.JobRecord{}, "job cancelled": &wire.JobRecord{},
@@ -110,10 +141,16 @@
 	}
 }
 
-// A node of this version takes over what the version in production left: its jobs,
-// Versions and machines, the ends of its jobs as dependencies among them.
-func TestProductionIsTakenOver(t *testing.T) {
-	samples := productionSamples(t)
+// A node of this version takes over what an older one left: its jobs, Versions and
+// machines, the ends of its jobs as dependencies among them.
+func TestOlderVersionsAreTakenOver(t *testing.T) {
+	for _, version := range []string{production, lastLanded} {
+		t.Run(version, func(t *testing.T) { takeOver(t, version) })
+	}
+}
+
+func takeOver(t *testing.T, version string) {
+	samples := samplesOf(t, version)
 	h := meet(t, func(c *Config) {
 		withPeer(c)
 		c.Teams = []Team{{Name: "t"}, {Name: "vision"}}
@@ -128,9 +165,15 @@
 	store(wire.JobKey("job-000001"), samples["records"]["job done"])
 	store(wire.JobKey("job-000002"), samples["records"]["job cancelled"])
 	store(wire.BatchKey(0, "h-1-1"), samples["records"]["batch"])
+	if version == lastLanded {
+		store(wire.JobKey("job-000414"), samples["records"]["job chained"])
+	}
 	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}}) // claimed anew
 	h.run(3 * sec)
 	c := h.c
+	if j := c.jobs.open["job-000414"]; version == lastLanded && (j == nil || !j.held() || len(j.needs) != 2) {
+		t.Errorf("its chained job is taken as %+v", j)
+	}
 	j := c.jobs.open["job-000412"]
 	if j == nil || j.run == nil || j.run.count != 6 || !j.run.done.has(9) {
 		t.Fatalf("its job or Version was not taken over: %+v", j)
@@ -149,6 +192,9 @@
 	}
 	h.withdraw("job-000413")
 	h.run(2 * sec)
+	if s := h.state("job-000414"); version == lastLanded && s != wire.StateCancelled {
+		t.Errorf("its chained job is called %q after the job before it was cancelled", s)
+	}
 	if s := h.state("job-000500"); s != wire.StateCancelled {
 		t.Errorf("called %q after the job before it was cancelled", s)
 	}
@@ -165,6 +211,23 @@
 	}
 }
 
+// A request to record dependents is lost on an older version, and nothing else of the
+// message is.
+func TestOlderVersionsReadRequestsToRecord(t *testing.T) {
+	about := peer.About{UptimeUS: 5, StateOK: true, Owns: []peer.Owned{{Share: 1, Mark: 77}}}
+	sent, err := peer.Encode(peer.Request{From: "n-1", Status: &peer.Status{About: about, Cancelled: []string{"job-000412"}, Record: []string{"job-000413"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got oldRequest
+	if err := peer.Decode(sent, &got); err != nil || got.Status == nil {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if got.From != "n-1" || !reflect.DeepEqual(got.Status.About, about) || !reflect.DeepEqual(got.Status.Cancelled, []string{"job-000412"}) {
+		t.Errorf("read as %+v", got.Status)
+	}
+}
+
 // What this version writes, the version in production reads as it did its own; a job
 // with dependencies it takes for pending, and starts nothing of it.
 func TestProductionReadsThis(t *testing.T) {
--- a/internal/standin/pipelines.go
+++ b/internal/standin/pipelines.go
@@ -1,32 +1,19 @@
 package standin
 
 import (
-	"fmt"
 	"slices"
-	"strings"
 
-	"garnethitch/internal/core"
 	"garnethitch/internal/micros"
 	"garnethitch/internal/wire"
 )
 
-// Pipelines of jobs that depend on each other, and a roll from the version in
-// production: nodes that behave as it does in all that they write and read, replaced
-// one by one.
-
-// lower are the limits that the state service will have; new nodes keep to them from
-// the start.
-const (
-	lowerValue = 2 << 10
-	lowerOps   = 4
-	lowerWrite = 60.0
-)
+// Pipelines of jobs that depend on each other.
 
 // newPipelines adds users whose jobs need each other.
 func (s *Sim) newPipelines() {
 	ordinary := slices.Clone(s.users)
 	begin := 5 * sec
-	if s.plan.Roll {
+	if s.plan.Roll != Current {
 		begin = s.rolledAt() + 2*sec
 	}
 	add := func(at micros.Micros, needs ...*user) *user {
@@ -156,120 +143,3 @@
 		}
 	}
 }
-
-// rolledAt is when all nodes have the new version, about: crashes beside the roll may
-// delay it.
-func (s *Sim) rolledAt() micros.Micros { return 12*sec + micros.Micros(len(s.Nodes))*7*sec }
-
-// scheduleRoll replaces the nodes one by one, in an order that the seed draws, and
-// lowers the state service's limits some time later.
-func (s *Sim) scheduleRoll() {
-	order := s.rng.Perm(len(s.Nodes))
-	for _, n := range s.Nodes {
-		n.old = true
-	}
-	for i, k := range order {
-		n := s.Nodes[k]
-		s.after(10*sec+micros.Micros(i)*7*sec, func() {
-			n.old = false
-			if n.core != nil {
-				s.trace("%s gets the new version", n.label)
-				n.crash(s.span(200*ms, 4*sec))
-			}
-		})
-	}
-	s.after(s.span(12*sec, s.rolledAt()+30*sec), func() { // while old nodes run, or later
-		s.lowerLimits()
-	})
-}
-
-// config is what a node is told.
-func (n *Node) config() core.Config { return n.sim.config(!n.old) }
-
-// config are the settings as the old version or this one takes them: only this one
-// knows of the limits to come.
-func (s *Sim) config(limitsToCome bool) core.Config {
-	cfg := s.cfg
-	if (s.plan.Roll || s.plan.Wave != nil) && limitsToCome {
-		cfg.ValueBytes, cfg.TxnOps, cfg.WriteRPS = lowerValue, lowerOps, lowerWrite
-	}
-	return cfg
-}
-
-// checkLimits: a new node writes nothing that the limits to come would refuse.
-func (n *Node) checkLimits(t wire.Txn) {
-	cfg := n.config()
-	if t.Writes() > cfg.TxnOps || len(t.If) > 4*cfg.TxnOps {
-		n.sim.broken("%s sends %d changes and %d conditions in a transaction", n.label, t.Writes(), len(t.If))
-	}
-	for _, c := range t.Then {
-		if c.Put != "" && wire.StoredSize(c.Value, cfg.ValueBytes) > cfg.ValueBytes {
-			n.sim.broken("%s writes a value of %d bytes to %s", n.label, len(c.Value), c.Put)
-		}
-	}
-}
-
-// oldJob is a job's record as the version in production knows it.
-type oldJob struct {
-	Submission *wire.Submission `cbor:"sub,omitempty"`
-	AcceptedMS int64            `cbor:"at"`
-	State      string           `cbor:"state"`
-	Tasks      int              `cbor:"tasks"`
-}
-
-// asOld gives a value as the version in production reads and writes it.
-func asOld(key string, value wire.Raw) wire.Raw {
-	var rec oldJob
-	if !strings.HasPrefix(key, wire.PrefixJob) || wire.Decode(value, &rec) != nil {
-		return value
-	}
-	if rec.Submission != nil {
-		rec.Submission.Dependencies = nil
-	}
-	out, err := wire.Encode(rec)
-	if err != nil {
-		panic(fmt.Sprintf("stand-in: %v", err))
-	}
-	return out
-}
-
-// oldCall and oldResult are what a node of the version in production sends, and makes
-// of an answer.
-func oldCall(call core.Call) core.Call {
-	if t, ok := call.Req.(wire.Txn); ok {
-		t.Then = slices.Clone(t.Then)
-		for i, c := range t.Then {
-			if c.Put != "" {
-				t.Then[i].Value = asOld(c.Put, c.Value)
-			}
-		}
-		call.Req = t
-	}
-	return call
-}
-
-func oldResult(r core.Result) core.Result {
-	switch b := r.Body.(type) {
-	case *wire.KeyValue:
-		kv := *b
-		kv.Value = asOld(kv.Key, kv.Value)
-		r.Body = &kv
-	case *wire.KeyList:
-		list := *b
-		list.Items = slices.Clone(b.Items)
-		for i, kv := range list.Items {
-			list.Items[i].Value = asOld(kv.Key, kv.Value)
-		}
-		r.Body = &list
-	case *wire.Events:
-		ev := *b
-		ev.Events = slices.Clone(b.Events)
-		for i, e := range ev.Events {
-			if e.Put != "" {
-				ev.Events[i].Value = asOld(e.Put, e.Value)
-			}
-		}
-		r.Body = &ev
-	}
-	return r
-}
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -27,6 +27,7 @@
 			s.broken("peer message: %v", err)
 			return
 		}
+		n.release.receivedRequest(&req)
 		n.ask(func(id core.ReplyID) core.Input { return core.PeerMessage{Reply: id, Req: req} }, func(a core.Answer) {
 			reply(core.Result{Status: a.Status, Body: a.Body})
 		})
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -45,9 +45,9 @@
 	// Churn makes every job one task, four of them a second, a quarter cancelled.
 	Churn bool
 	// Pipelines is how many sets of jobs that need each other are submitted besides.
-	// Roll begins with nodes of the version in production; see pipelines.go.
+	// Roll begins with nodes of an older version; see roll.go.
 	Pipelines int
-	Roll      bool
+	Roll      Release
 	// Wave cancels a job that many others need; see wave.go.
 	Wave *Wave
 	// Length is how long faults and submissions go on; after that all is well
@@ -186,7 +186,7 @@
 		s.newWave(*p.Wave)
 	}
 	s.markLargest()
-	if p.Roll {
+	if p.Roll != Current {
 		s.scheduleRoll()
 	}
 	if p.Faults {
@@ -426,7 +426,7 @@
 	// frozenUntil: until then the process stands still, and what comes in waits.
 	frozenUntil micros.Micros
 	waiting     []core.Input
-	old         bool // of the version in production
+	release     Release // which version it runs
 }
 
 func (n *Node) start() {
@@ -549,13 +549,11 @@
 }
 
 func (n *Node) call(call core.Call) {
-	life, old := n.life, n.old
+	life, release := n.life, n.release
 	if t, ok := call.Req.(wire.Txn); ok {
 		n.checkLimits(t)
 	}
-	if old {
-		call = oldCall(call)
-	}
+	call = release.sent(call)
 	n.recent = append(n.recent, call)
 	if len(n.recent) > 12 {
 		n.recent = n.recent[1:]
@@ -583,9 +581,7 @@
 			if !ok {
 				r = core.Result{}
 			}
-			if old {
-				r = oldResult(r)
-			}
+			r = release.received(r)
 			r.ID = call.ID
 			n.step(r)
 		})
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -81,10 +81,13 @@
 		{"pipelines and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4, Faults: true}, 12},
 		{"pipelines and meetings, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4, Meet: true}, 10},
 		{"pipelines and meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 12, Pipelines: 4, Meet: true}, 10},
-		{"a roll, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: true}, 4},
-		{"a roll and troubles, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: true, Faults: true}, 12},
-		{"a roll and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: true, Faults: true}, 12},
-		{"a roll of a grown deployment", grownTeam, Plan{Nodes: 3, Machines: 300, Jobs: 40, Pipelines: 6, Grown: true, Roll: true, Faults: true}, 2},
+		{"a roll, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: Production}, 4},
+		{"a roll and troubles, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: Production, Faults: true}, 12},
+		{"a roll and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: Production, Faults: true}, 12},
+		{"a roll of a grown deployment", grownTeam, Plan{Nodes: 3, Machines: 300, Jobs: 40, Pipelines: 6, Grown: true, Roll: Production, Faults: true}, 2},
+		{"a roll from the last landing, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: LastLanded, Faults: true}, 6},
+		{"a roll from the last landing, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: LastLanded, Faults: true}, 6},
+		{"a roll from the last landing and meetings", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 16, Pipelines: 4, Roll: LastLanded, Meet: true}, 4},
 		{"ten times too slow, troubles", fourTeam, Plan{Nodes: 3, Machines: 10, Jobs: 25, Faults: true, Slow: 300 * ms}, 6},
 	} {
 		for seed := range seeds(r.seeds) {
@@ -143,12 +146,14 @@
 		{"deep, the owner is refused", oneTeam, Wave{Shape: Deep, Dependents: 200, Trouble: OwnerRefused}},
 		{"diamonds, from the middle", fourTeam, Wave{Shape: Diamonds, Dependents: 300, Middle: true}},
 		{"diamonds, the owner returns at once", oneTeam, Wave{Shape: Diamonds, Dependents: 300, Trouble: OwnerReturns, Limited: true}},
+		{"wide, during a roll from the last landing", fourTeam, Wave{Shape: Wide, Dependents: 300, Roll: LastLanded}},
+		{"deep, during a roll from the last landing", oneTeam, Wave{Shape: Deep, Dependents: 200, Roll: LastLanded}},
 		{"diamonds, the owner is cut off", fourTeam, Wave{Shape: Diamonds, Dependents: 300, Trouble: OwnerCutOff}},
 	} {
 		for seed := range seeds(1) {
 			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) {
 				t.Parallel()
-				s := New(Plan{Seed: uint64(seed) + 1, Nodes: 3, Machines: 4, Wave: &tc.wave, Teams: tc.teams, Length: 90 * sec, Rest: 300 * sec})
+				s := New(Plan{Seed: uint64(seed) + 1, Nodes: 3, Machines: 4, Wave: &tc.wave, Roll: tc.wave.Roll, Teams: tc.teams, Length: 90 * sec, Rest: 300 * sec})
 				if most := s.bound(tc.wave); tc.wave.Dependents > most {
 					t.Fatalf("%d dependents, %d fit into the time", tc.wave.Dependents, most)
 				}
--- a/internal/standin/wave.go
+++ b/internal/standin/wave.go
@@ -51,6 +51,8 @@
 	Trouble WaveTrouble
 	// Limited lowers the limits before the jobs are submitted.
 	Limited bool
+	// Roll is the version that a roll begins with, the cancellation coming while it lasts.
+	Roll Release
 }
 
 // away is how many controllers the trouble takes away for longer than a lease.
