A held job waits for word of all above it; writes refused as too large pause

Three gaps found by reading, each with a test seen to fail without the mend: - a job two steps below an end that had left memory was called pending (knowsAllNeeded); - an end that the state service refused with 400 was read and sent again without a pause; it is now logged and tried again after some 15 s, and so are Versions and dependents.

--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -186,6 +186,10 @@
 		if current && res.Status != 200 && res.Status != 409 {
 			w.retryAt = c.now + c.jitter(400*micros.Millisecond)
 		}
+		if current && res.Status == 400 {
+			c.log(Error, "ends of dependents refused by the state service", "first", jobs[0].id, "changes", txn.Writes())
+			w.retryAt = c.now + c.jitter(refusedPause)
+		}
 		failed := failedKeys(res)
 		for i, j := range jobs {
 			if current {
--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -249,3 +249,50 @@
 		}
 	}
 }
+
+// A write that the state service refuses as too large is tried again seldom, and holds up
+// no other kind of write.
+func TestRefusedAsTooLarge(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		key  string
+		play func(h *harness, token uint64)
+	}{
+		{"the end of a job", wire.JobKey("job-000001"), func(h *harness, _ uint64) { h.withdraw("job-000001") }},
+		{"a Version", wire.PrefixVersion, func(h *harness, _ uint64) {
+			j := h.c.jobs.open["job-000001"]
+			h.c.taskDone(j, 0, nil)
+		}},
+		{"dependents", wire.JobKey("job-000002"), func(h *harness, _ uint64) { h.recordEnd("job-000001", wire.StateCancelled, 0) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, withPeer)
+			token := h.settle("vm-1")
+			h.submit(jobOf("job-000001", 3))
+			h.submit(after("job-000002", 1, "job-000001"))
+			h.dropCalls()
+			h.tooLarge = tc.key
+			tc.play(h, token)
+			h.run(20 * sec)
+			if h.refusals == 0 || h.refusals > 3 {
+				t.Errorf("sent %d times in 20 s, want once to three times", h.refusals)
+			}
+			if a := h.submit(jobOf("job-000003", 1)); a.Status != 201 {
+				t.Errorf("another job is answered %d meanwhile", a.Status)
+			}
+			if a := h.withdraw("job-000003"); stateOf(a) != wire.StateCancelled {
+				t.Errorf("its cancellation is answered %d %q", a.Status, stateOf(a))
+			}
+			h.tooLarge = ""
+			h.run(20 * sec)
+			for _, id := range []string{"job-000001", "job-000002"} {
+				if s := h.state(id); tc.key != wire.PrefixVersion && s != wire.StateCancelled {
+					t.Errorf("%s is called %q once the state service takes it", id, s)
+				}
+			}
+			if tc.key == wire.PrefixVersion && h.keys[wire.VersionKey("job-000001")].Version == 0 {
+				t.Error("no Version stands once the state service takes it")
+			}
+		})
+	}
+}
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -36,6 +36,8 @@
 	// lose swallows the answers of transactions that touch a key.
 	lose string
 	lost []Call
+	// tooLarge is a prefix of keys whose changes the store refuses with 400.
+	tooLarge string
 	// late keeps transactions that touch a key back: see carryOut.
 	late    string
 	lateOut []Call
@@ -43,6 +45,8 @@
 	// told are the Status messages that reached the other controllers.
 	told []peer.Status
 	done []wire.Txn // carried out
+	// refusals counts transactions refused as too large.
+	refusals int
 	// listed is what the cloud lists.
 	listed []wire.ListedMachine
 	// watchBlocked is a prefix whose watches bring nothing.
@@ -172,6 +176,11 @@
 			h.lateOut = append(h.lateOut, c)
 			return
 		}
+		if h.tooLarge != "" && slices.ContainsFunc(r.Then, func(c wire.Change) bool { return strings.HasPrefix(c.Put, h.tooLarge) }) {
+			h.refusals++
+			result(400, nil)
+			return
+		}
 		status, body := h.txn(r)
 		if status == 200 {
 			h.done = append(h.done, r)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -369,6 +369,10 @@
 	}
 }
 
+// refusedPause is how long a write that the state service refused as malformed or too
+// large is put off.
+const refusedPause = 15 * micros.Second
+
 // endJob records a job as done or cancelled. Users hear of it only after.
 func (c *Core) endJob(j *job, state string) {
 	r := j.run
@@ -405,6 +409,13 @@
 			r.ending = false // not executed
 			r.endNext = c.now + c.jitter(400*micros.Millisecond)
 			c.failWaiters(j)
+		case res.Status == 400:
+			// Not executed, and not to be had soon: the state service takes less than the
+			// settings say. Tried again seldom, so that no other write waits behind it.
+			c.log(Error, "end of a job refused by the state service", "job", j.id, "bytes", len(value), "changes", txn.Writes())
+			r.ending = false
+			r.endNext = c.now + c.jitter(refusedPause)
+			c.failWaiters(j)
 		default:
 			// Unclear, or something has changed: a read settles it. Until then
 			// nothing is told from memory.
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -158,9 +158,24 @@
 	if !w.ready || c.now-w.seenAt > min(2*watchBlock, c.cfg.Cancel/2) {
 		return false
 	}
-	for id := range j.needs {
-		if _, unknown := c.jobs.unknown[id]; unknown {
-			return false
+	return c.knowsAllNeeded(j)
+}
+
+// knowsAllNeeded: of everything that a held job needs, directly or through others, this
+// node knows how it stands. A cancelled one that has left memory may be far above.
+func (c *Core) knowsAllNeeded(j *job) bool {
+	seen := map[string]bool{}
+	for stack := []*job{j}; len(stack) > 0; {
+		at := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		for id := range at.needs {
+			if _, unknown := c.jobs.unknown[id]; unknown {
+				return false
+			}
+			if up := c.jobs.open[id]; up != nil && len(up.needs) > 0 && !seen[id] {
+				seen[id] = true
+				stack = append(stack, up)
+			}
 		}
 	}
 	return true
--- a/internal/core/pipelines_test.go
+++ b/internal/core/pipelines_test.go
@@ -571,10 +571,14 @@
 		{"the dependency's end is not in memory", func(h *harness) {
 			h.c.jobs.unknown["job-000001"] = micros.Never
 		}},
+		{"an end further up is not in memory", func(h *harness) {
+			h.c.jobs.unknown["job-000000"] = micros.Never
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := meet(t, withPeer)
-			h.record(jobOf("job-000001", 1))
+			h.record(jobOf("job-000000", 1))
+			h.record(after("job-000001", 1, "job-000000"))
 			h.record(after("job-000002", 1, "job-000001"))
 			h.record(jobOf("job-000003", 1))
 			h.run(sec)
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -177,6 +177,12 @@
 			r.verBusy = false
 			return
 		}
+		if res.Status == 400 {
+			c.log(Error, "Version refused by the state service", "job", j.id, "bytes", len(value))
+			r.verBusy = false
+			r.verNext = c.now + c.jitter(refusedPause)
+			return
+		}
 		// Unclear or refused: see what stands there before writing again.
 		c.askState(prioVersion, GetKey{Key: key}, micros.Second, func(res Result) {
 			if j.run != r {
