--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,10 +7,8 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"slices"
 
 	"garnethitch/internal/micros"
-	"garnethitch/internal/peer"
 	"garnethitch/internal/wire"
 )
 
@@ -58,146 +56,6 @@
 	Urgent, Finished map[string]micros.Micros
 }
 
-// Instant is a reading of both clocks.
-type Instant struct {
-	Steady micros.Micros
-	Wall   micros.Micros // time of day
-	// Took is how long the step before took, with what it gave to do: on a small
-	// share of a core much longer than on a whole one.
-	Took micros.Micros
-}
-
-// ReplyID names a request that waits for its answer.
-type ReplyID uint64
-
-// Inputs of Step.
-type (
-	// Tick says that time has passed.
-	Tick struct{}
-	// Submit is a user's submission, parsed; Err is set if it is malformed.
-	Submit struct {
-		Reply ReplyID
-		Job   wire.Submission
-		Err   *wire.SubmissionError
-	}
-	// Poll asks for a job's state.
-	Poll struct {
-		Reply ReplyID
-		ID    string
-	}
-	// Withdraw cancels a job.
-	Withdraw struct {
-		Reply ReplyID
-		ID    string
-	}
-	// Ready asks whether this node can take requests.
-	Ready struct{ Reply ReplyID }
-	// Checkin is a worker's report.
-	Checkin struct {
-		Reply  ReplyID
-		Report wire.Report
-	}
-	// PeerMessage is a request of another controller.
-	PeerMessage struct {
-		Reply ReplyID
-		Req   peer.Request
-	}
-	// Result ends a Call. Status 0: no usable answer; NotSent: and not a byte
-	// of the request has left.
-	Result struct {
-		ID      uint64
-		Status  int
-		Body    any
-		NotSent bool
-	}
-)
-
-// TooLarge is the Status of a Result whose answer came but is larger than this
-// node takes: asking the same again would bring the same.
-const TooLarge = 413
-
-// Target of a Call.
-type Target int
-
-// Targets.
-const (
-	ToState Target = iota
-	ToCloud
-	ToWorker
-	ToPeer
-)
-
-// Requests that are not bodies of package wire.
-type (
-	// GetKey reads a key.
-	GetKey struct{ Key string }
-	// ListKeys reads a page of keys.
-	ListKeys struct {
-		Prefix, After string
-		Limit         int
-	}
-	// Watch waits for changes.
-	Watch struct {
-		Prefix string
-		Since  uint64
-		WaitMS int64
-	}
-	// RenewLease extends a lease.
-	RenewLease struct{ Lease uint64 }
-	// GetTypes asks the cloud for machine types.
-	GetTypes struct{}
-	// ListMachines asks the cloud for machines.
-	ListMachines struct {
-		After string
-		Limit int
-	}
-	// ReturnMachines gives machines back.
-	ReturnMachines struct{ Machines []string }
-	// Show asks a worker for its report.
-	Show struct{}
-)
-
-// Effects of Step.
-type (
-	// Answer answers a request. Body is a wire or peer value, or nil.
-	Answer struct {
-		Reply       ReplyID
-		Status      int
-		Body        any
-		RetryAfterS int
-	}
-	// Call sends a request; its Result must come back exactly once.
-	Call struct {
-		ID      uint64
-		To      Target
-		Addr    string // workers: address; peers: label
-		Req     any
-		Timeout micros.Micros
-	}
-	// Log is a line for the operators.
-	Log struct {
-		Level Level
-		Text  string
-		Args  []any
-	}
-)
-
-// Level of a log line.
-type Level int
-
-// Levels.
-const (
-	Debug Level = iota
-	Info
-	Error
-)
-
-// Effect is an Answer, a Call or a Log.
-type Effect any
-
-// Input is one of the input types above.
-type Input any
-
 // Core is the state of one controller.
 type Core struct {
 	cfg    Config
@@ -460,41 +318,3 @@
 func (c *Core) jitter(d micros.Micros) micros.Micros {
 	return d*3/4 + micros.Micros(c.rng.Int64N(int64(d/2)+1))
 }
-
-// PartTeams gives each team's share, or nil if jobs are parted instead: there
-// is just one team, and it has no limit (a limit can be kept only in one
-// place). Teams go to shares by size of guarantee, the largest first, each to
-// the share with the least so far, so that every node parts them alike.
-func PartTeams(teams []Team, shares int) []int {
-	if len(teams) == 1 && teams[0].CPUsMax == 0 && teams[0].GPUsMax == 0 {
-		return nil
-	}
-	order := make([]int, len(teams))
-	for i := range order {
-		order[i] = i
-	}
-	weight := func(t Team) float64 { return t.CPUs + 8*t.GPUs }
-	slices.SortStableFunc(order, func(a, b int) int {
-		switch wa, wb := weight(teams[a]), weight(teams[b]); {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return 0
-	})
-	load, count := make([]float64, shares), make([]int, shares)
-	out := make([]int, len(teams))
-	for _, t := range order {
-		best := 0
-		for s := 1; s < shares; s++ {
-			if load[s] < load[best] || (load[s] == load[best] && count[s] < count[best]) {
-				best = s
-			}
-		}
-		out[t] = best
-		load[best] += weight(teams[t])
-		count[best]++
-	}
-	return out
-}
--- /dev/null
+++ b/internal/core/ends.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+	"garnethitch/internal/wire"
+)
+
+// How jobs end: done or cancelled, by one record, of which users hear only after it stands.
+
+// cancelJob records a cancellation and answers once it stands.
+func (c *Core) cancelJob(j *job, done func(peer.Answer)) {
+	if len(j.run.waiters) >= 64 {
+		done(peer.Answer{Status: 503})
+		return
+	}
+	j.run.waiters = append(j.run.waiters, done)
+	c.requestCancellation(j)
+	if !j.run.ending && j.run.want == wire.StateCancelled {
+		c.endJob(j, wire.StateCancelled)
+	}
+}
+
+// requestCancellation takes up a user's request to cancel a job. It is enough to stop the job's
+// tasks, before and whether or not the record stands: nobody has any use for what
+// they do from now on, and another node may tell "cancelled" before this one knows
+// that its record was carried out. The tasks count until they are seen gone, and the
+// owner goes on trying to record.
+func (c *Core) requestCancellation(j *job) {
+	if j.run.want != "" {
+		return
+	}
+	c.log(Info, "job cancellation requested", "job", j.id)
+	j.run.want = wire.StateCancelled
+	c.haltAll(j)
+	c.own.shares[j.share].queueStale = true
+	c.placementDue = true
+}
+
+// haltAll stops all of a job's tasks.
+func (c *Core) haltAll(j *job) {
+	for _, idx := range slices.Sorted(maps.Keys(j.run.active)) {
+		c.stop(j.run.active[idx], haltHard)
+	}
+}
+
+// refusedPause is how long a write that the state service refused as malformed or too
+// large is put off.
+const refusedPause = 15 * micros.Second
+
+// endJob records a job as done or cancelled. Users hear of it only after.
+func (c *Core) endJob(j *job, state string) {
+	r := j.run
+	if r.ending || !c.canAnswer() {
+		if r.want == "" {
+			r.want = state
+		}
+		return
+	}
+	s := c.own.shares[j.share]
+	rec := wire.JobRecord{AcceptedMS: j.rec.AcceptedMS, State: state, Tasks: j.sub.Tasks, EndMS: c.wall.Millis()}
+	value, err := wire.Encode(rec)
+	if err != nil {
+		c.log(Error, "job record not encoded", "job", j.id, "error", err)
+		return
+	}
+	r.want, r.ending = state, true
+	r.endNext = micros.Never
+	txn := wire.Txn{
+		If:   []wire.Condition{{Key: wire.JobKey(j.id), Version: j.mark}, {Key: ownerKey(s.id), Version: s.mark}},
+		Then: []wire.Change{{Put: wire.JobKey(j.id), Value: value}},
+	}
+	if r.verMark != 0 || r.verBusy {
+		txn.Then = append(txn.Then, wire.Change{Delete: wire.VersionKey(j.id)})
+	}
+	c.askState(prioEnd, txn, 1500*micros.Millisecond, func(res Result) {
+		if j.run != r {
+			return
+		}
+		switch {
+		case res.Status == 200:
+			c.finishJob(j.id, finalJob{state: state, tasks: j.sub.Tasks, recorded: true, endMS: rec.EndMS})
+		case res.NotSent || res.Status == 503 || res.Status == 429:
+			r.ending = false // not executed
+			r.endNext = c.now + c.jitter(400*micros.Millisecond)
+			c.failWaiters(j)
+		case res.Status == 400:
+			// Not executed, and not to be had soon: the state service takes less than the
+			// settings say. Tried again seldom, so that no other write waits behind it.
+			c.log(Error, "end of a job refused by the state service", "job", j.id, "bytes", len(value), "changes", txn.Writes())
+			r.ending = false
+			r.endNext = c.now + c.jitter(refusedPause)
+			c.failWaiters(j)
+		default:
+			// Unclear, or something has changed: a read settles it. Until then
+			// nothing is told from memory.
+			r.unsure = true
+			c.settleEnd(j, r)
+		}
+	})
+}
+
+// settleEnd reads a job whose end is unclear.
+func (c *Core) settleEnd(j *job, r *run) {
+	c.readJob(j.id, func(status int) {
+		if j.run != r {
+			return // final, or no longer ours
+		}
+		if status == 200 {
+			// Not ended; a late copy can still end it, so that it stays unsure. j.mark
+			// is as read.
+			r.ending = false
+			r.endNext = c.now
+			c.failWaiters(j)
+			return
+		}
+		r.endNext = c.now + c.jitter(500*micros.Millisecond)
+		c.failWaiters(j)
+	})
+}
+
+func (c *Core) failWaiters(j *job) {
+	waiters := j.run.waiters
+	j.run.waiters = nil
+	for _, w := range waiters {
+		c.later(func() { w(peer.Answer{Status: 503}) })
+	}
+}
+
+// finishJob takes notice that a job is over.
+func (c *Core) finishJob(id string, f finalJob) {
+	if old, ok := c.jobs.final(id); ok {
+		if old.recorded || !f.recorded {
+			return
+		}
+		f.spread = old.spread
+		c.jobs.finals[id] = f // what a controller told now stands on record
+	} else {
+		c.jobs.addFinal(id, f)
+	}
+	c.dependencyEnded(id, f)
+	j := c.jobs.open[id]
+	if j == nil {
+		return
+	}
+	delete(c.jobs.open, id)
+	c.wave.remove(id)
+	c.unlinkDependencies(j)
+	if f.state == wire.StateCancelled {
+		c.spreadCancelled(id)
+	}
+	if f.state == wire.StateDone {
+		c.notePrefetchImage(j)
+	}
+	r := j.run
+	if r == nil {
+		return
+	}
+	waiters := r.waiters
+	r.waiters = nil
+	for _, w := range waiters {
+		c.later(func() { w(finalAnswer(f)) })
+	}
+	if f.state == wire.StateDone {
+		c.log(Info, "job done", "job", id, "class", j.sub.Class, "team", j.sub.Team, "tasks", f.tasks, "waited_s", max(r.firstRun-r.arrival, 0).Seconds(), "seconds", (c.now - r.arrival).Seconds())
+	}
+	c.haltAll(j)
+	j.run = nil
+	c.own.shares[j.share].queueStale = true
+	c.placementDue = true
+}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -1,10 +1,8 @@
 package core
 
 import (
-	"maps"
 	"slices"
 	"strconv"
-	"strings"
 
 	"garnethitch/internal/micros"
 	"garnethitch/internal/peer"
@@ -56,20 +54,6 @@
 	arrivals rateMeter
 }
 
-// watched is a prefix followed by one long poll.
-type watched struct {
-	prefix   string
-	since    uint64
-	ready    bool
-	busy     bool
-	openedAt micros.Micros
-	every    micros.Micros
-	listed   map[string]bool
-	after    string
-	seenAt   micros.Micros // when it was last heard of: up to then all is known
-	first    uint64        // revision of the listing's first page
-}
-
 type ownership struct {
 	lease     uint64
 	asking    bool
@@ -93,14 +77,6 @@
 	o.contact = -micros.Never
 }
 
-// What the others' jobs do is nobody's hurry: an owner hears of a new job from the
-// node that took it, and a claim looks by itself. Where a job of this node is held
-// until another's job is done, it is.
-const (
-	jobWatchEvery  = 400 * micros.Millisecond
-	heldWatchEvery = 120 * micros.Millisecond
-)
-
 // canAnswer: may this node speak for its shares from memory, and record?
 func (c *Core) canAnswer() bool {
 	return c.own.lease != 0 && c.now < c.own.renewed+c.bounds.Answer
@@ -174,247 +150,6 @@
 
 func ownerKey(id int) string { return wire.PrefixOwner + strconv.Itoa(id) }
 
-func (c *Core) newLease() {
-	o := &c.own
-	o.asking = true
-	asked := c.now
-	c.askState(prioLease, wire.NewLease{TTLMS: c.cfg.Lease.Millis()}, micros.Second, func(r Result) {
-		o.asking = false
-		if l, ok := r.Body.(*wire.Lease); ok && r.Status == 200 && l.Lease != 0 {
-			o.lease, o.renewed = l.Lease, asked
-			o.nextRenew = c.now + c.cfg.Lease/4
-			o.contact = c.now
-			c.log(Info, "lease granted", "lease", l.Lease)
-		}
-	})
-}
-
-// renewLease asks for more time at a steady pace, whether the last answers have
-// come or not: a renewal counts from when it was sent, so that a late answer is
-// worth something yet. (On a share of a core that did not suffice, answers took
-// more than a second; with one renewal at a time, given up after a second, three
-// controllers lost their leases to each other, each taking over more than it could
-// bear.)
-func (c *Core) renewLease() {
-	o := &c.own
-	o.renewals++
-	asked, lease := c.now, o.lease
-	o.nextRenew = asked + c.cfg.Lease/4
-	c.askState(prioLease, RenewLease{Lease: lease}, c.cfg.Lease, func(r Result) {
-		o.renewals--
-		if o.lease != lease {
-			return
-		}
-		switch r.Status {
-		case 200:
-			if c.now >= o.renewed+c.bounds.Answer {
-				c.log(Info, "lease renewed after a gap", "gap_ms", (c.now - o.renewed).Millis())
-			}
-			o.renewed = max(o.renewed, asked)
-			o.contact = c.now
-			c.placementDue = true
-		case 404:
-			c.log(Info, "lease lost, giving up all duties", "lease", lease)
-			o.contact = c.now
-			c.loseLease()
-		default:
-			o.nextRenew = min(o.nextRenew, c.now+c.jitter(150*micros.Millisecond))
-		}
-	})
-}
-
-// mostRenewals bounds those under way.
-const mostRenewals = 4
-
-// loseLease forgets every duty that hung on the lease.
-func (c *Core) loseLease() {
-	c.own.lease = 0
-	for _, s := range c.own.shares {
-		if s.active {
-			c.deactivate(s)
-		}
-	}
-}
-
-// watchBlock is how long a watch waits for changes.
-const watchBlock = 5 * micros.Second
-
-// follow keeps a prefix listed and watched.
-func (c *Core) follow(w *watched) {
-	if w.busy {
-		return
-	}
-	if wait := w.openedAt + w.every - c.now; wait > 0 {
-		c.wakeIn(wait)
-		return
-	}
-	w.busy = true
-	w.openedAt = c.now
-	if !w.ready {
-		c.listPage(w)
-		return
-	}
-	req := Watch{Prefix: w.prefix, Since: w.since, WaitMS: watchBlock.Millis()}
-	c.askState(prioLease, req, watchBlock+2*micros.Second, func(r Result) {
-		w.busy = false
-		switch body := r.Body.(type) {
-		case *wire.Events:
-			if r.Status != 200 {
-				break
-			}
-			c.own.contact, w.seenAt = c.now, c.now
-			c.applyEvents(body.Events)
-			w.since = max(w.since, body.Revision)
-		default:
-			if outgrown(r.Status) {
-				w.ready = false
-			} else {
-				w.openedAt = c.now // pause before the next try
-			}
-		}
-		c.follow(w)
-	})
-}
-
-// outgrown: changes since then are no longer kept, or are too many for one
-// answer, as after an outage or a freeze. What stands is listed again.
-func outgrown(status int) bool { return status == 410 || status == TooLarge }
-
-func (c *Core) listPage(w *watched) {
-	const page = 500
-	c.askState(prioLease, ListKeys{Prefix: w.prefix, After: w.after, Limit: page}, 3*micros.Second, func(r Result) {
-		w.busy = false
-		body, ok := r.Body.(*wire.KeyList)
-		if !ok || r.Status != 200 {
-			return
-		}
-		c.own.contact = c.now
-		if w.after == "" {
-			w.first = body.Revision
-			w.listed = map[string]bool{}
-		}
-		for _, kv := range body.Items {
-			w.listed[kv.Key] = true
-			w.after = kv.Key
-			c.applyPut(kv.Key, kv.Value, kv.Version)
-		}
-		w.openedAt = -micros.Never
-		if body.More && len(body.Items) > 0 {
-			return
-		}
-		if w.prefix == wire.PrefixControl {
-			c.dropUnlisted(w.listed, w.first)
-			c.dropUnlistedMachines()
-		}
-		w.ready, w.since, w.after, w.listed, w.seenAt = true, w.first, "", nil, c.now
-		c.follow(w)
-	})
-}
-
-// dropUnlisted applies the deletions that a fresh listing shows.
-func (c *Core) dropUnlisted(listed map[string]bool, revision uint64) {
-	for _, s := range c.own.shares {
-		if key := ownerKey(s.id); s.mark != 0 && s.mark <= revision && !listed[key] {
-			c.applyDelete(key, revision)
-		} else if s.mark == 0 && s.absentSince == 0 {
-			s.absentSince = c.now
-		}
-	}
-	if l := &c.own.leader; l.mark != 0 && l.mark <= revision && !listed[wire.KeyLeader] {
-		c.applyDelete(wire.KeyLeader, revision)
-	} else if l.mark == 0 && l.absentSince == 0 {
-		l.absentSince = c.now
-	}
-	for _, key := range sortedKeys(c.batches) {
-		if b := c.batches[key]; b.mark <= revision && !listed[key] {
-			c.dropBatch(b)
-		}
-	}
-}
-
-// applyPut takes a key's value, from a watch, a listing or a read. Older ones
-// than known are ignored.
-func (c *Core) applyPut(key string, value wire.Raw, mark uint64) {
-	bad := func(err error) { c.log(Error, "record not readable, ignored", "key", key, "error", err) }
-	switch {
-	case strings.HasPrefix(key, wire.PrefixOwner):
-		id, err := strconv.Atoi(key[len(wire.PrefixOwner):])
-		if err != nil || id < 0 || id >= len(c.own.shares) {
-			return
-		}
-		s := c.own.shares[id]
-		var rec wire.OwnerRecord
-		if mark <= s.mark {
-			return
-		}
-		if err := wire.Decode(value, &rec); err != nil {
-			bad(err)
-			return
-		}
-		c.setOwner(s, rec, mark)
-	case key == wire.KeyLeader:
-		l := &c.own.leader
-		if mark <= l.mark {
-			return
-		}
-		var rec wire.OwnerRecord
-		if err := wire.Decode(value, &rec); err != nil {
-			bad(err)
-			return
-		}
-		l.rec, l.mark = rec, mark
-		if c.isMine(l) {
-			c.startLeading()
-		}
-	case key == wire.KeyTypes:
-		var rec wire.MachineTypes
-		if err := wire.Decode(value, &rec); err != nil {
-			bad(err)
-			return
-		}
-		c.fleet.typesMark = max(c.fleet.typesMark, mark)
-		c.learnTypes(rec, false)
-	case strings.HasPrefix(key, wire.PrefixFleet):
-		var rec wire.BatchRecord
-		if err := wire.Decode(value, &rec); err != nil {
-			bad(err)
-			return
-		}
-		c.setBatch(key, rec, mark)
-	case strings.HasPrefix(key, wire.PrefixJob):
-		var rec wire.JobRecord
-		if err := wire.Decode(value, &rec); err != nil {
-			bad(err)
-			return
-		}
-		c.learnJob(key[len(wire.PrefixJob):], rec, mark)
-	}
-}
-
-func (c *Core) applyDelete(key string, mark uint64) {
-	switch {
-	case strings.HasPrefix(key, wire.PrefixOwner):
-		id, err := strconv.Atoi(key[len(wire.PrefixOwner):])
-		if err != nil || id < 0 || id >= len(c.own.shares) {
-			return
-		}
-		if s := c.own.shares[id]; mark >= s.mark {
-			s.mark, s.rec, s.absentSince = 0, wire.OwnerRecord{}, c.now
-			if s.active {
-				c.deactivate(s)
-			}
-		}
-	case key == wire.KeyLeader:
-		if l := &c.own.leader; mark >= l.mark {
-			l.mark, l.rec, l.absentSince = 0, wire.OwnerRecord{}, c.now
-		}
-	case strings.HasPrefix(key, wire.PrefixFleet):
-		if b := c.batches[key]; b != nil && mark >= b.mark {
-			c.dropBatch(b)
-		}
-	}
-}
-
 func (c *Core) setOwner(s *share, rec wire.OwnerRecord, mark uint64) {
 	s.rec, s.mark, s.claiming = rec, mark, false
 	if s.active {
@@ -493,17 +228,6 @@
 	})
 }
 
-func (c *Core) applyEvents(events []wire.Event) {
-	for _, e := range events {
-		if e.Put != "" {
-			c.applyPut(e.Put, e.Value, e.Version)
-		} else if e.Delete != "" {
-			c.applyDelete(e.Delete, e.Version)
-		}
-	}
-	c.dropUnlistedMachines()
-}
-
 // deactivate lets a share go: nothing is remembered of it that a later claim
 // could mistake for knowledge.
 func (c *Core) deactivate(s *share) {
@@ -693,5 +417,3 @@
 	}
 	return quiet
 }
-
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
