--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -39,9 +39,10 @@
 	}
 }
 
+// demandOf is what a share wants of the fleet, and what stands in it.
 func (c *Core) demandOf(s *share) peer.Demand {
 	c.refresh(s)
-	d := peer.Demand{Share: s.id, ArrivalCPUs: s.arrivals.rate(c.now)}
+	d := peer.Demand{Share: s.id, ArrivalCPUs: s.arrivals.rate(c.now), All: len(s.machines)}
 	for _, j := range c.queue(s) {
 		if j.within && j.run != nil {
 			d.Guarantee += float64(j.sub.Tasks-j.run.count) * j.sub.CPUs
@@ -50,79 +51,26 @@
 	var busy []peer.Machine
 	others, zones := map[int]int{}, map[string]*peer.Zone{}
 	for _, m := range s.machines {
-		v, mt := m.v, c.types[m.rec.Type]
-		if v == nil || m.returned {
+		if m.v == nil || m.returned {
 			continue
 		}
-		used := min(v.sum.cpus, mt.CPUs)
-		row := peer.Machine{ID: m.id, State: c.stateOf(m), Busy: used, Movable: true}
 		z := zones[m.rec.Zone]
 		if z == nil {
 			z = &peer.Zone{Name: m.rec.Zone}
 			zones[m.rec.Zone] = z
 		}
-		z.All++
-		switch row.State {
-		case peer.MachineBooting:
-			d.Booting += mt.CPUs
-			z.All--
+		row := c.countMachine(s, m, &d, z)
+		if row.State == peer.MachineBooting {
 			continue
-		case peer.MachineDoubt:
-			if v.unanswered >= 2 {
-				row.SinceUS = int64(c.now - s.claimedAt)
-			}
-			d.Doubt++
-			d.HeldUS = max(int64(s.freeAt-c.now), 0)
-			if c.now-s.claimedAt > doubtReturn {
-				z.Silent++
-			}
-		case peer.MachineIdle:
-			row.SinceUS = int64(c.now - v.idleAt)
-			d.CPUs += mt.CPUs
-		case peer.MachineSilent:
-			d.Silent++
-			z.Silent++
-			row.SinceUS = int64(c.unheard(v))
-			if c.leaseRunningOut(v) {
-				row.SinceUS = max(row.SinceUS, int64(c.unanswered(v)))
-			}
-			if r := &v.reach; r.unshown > 0 {
-				row.SinceUS = max(row.SinceUS, int64(c.now-r.since))
-			}
-		case peer.MachineBusy:
-			d.CPUs += mt.CPUs
-			d.Busy += used
-		}
-		for _, sl := range v.list {
-			if sl.job == nil || sl.state == slotExited {
-				continue
-			}
-			if !c.movable(sl) {
-				row.Movable = false
-			} else if sl.job.sub.CheckpointS <= 0 {
-				row.LostUS += int64(float64(c.now-sl.runAt) * sl.job.sub.CPUs)
-			}
-			left := c.left(sl)
-			row.LeftUS = max(row.LeftUS, int64(left))
-			d.RunLeftUS += int64(float64(left) * sl.job.sub.CPUs)
 		}
+		c.countAttempts(m, &d, &row)
 		if row.State == peer.MachineBusy {
 			busy = append(busy, row)
 		} else if others[row.State]++; others[row.State] <= maxOtherRows {
 			d.Machines = append(d.Machines, row)
 		}
 	}
-	slices.SortFunc(busy, func(a, b peer.Machine) int { return cmp.Or(cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID)) })
-	n := min(len(busy), maxBusyRows)
-	d.Machines = append(d.Machines, busy[:n]...)
-	if rest := busy[n:]; len(rest) > 0 {
-		// And those that stand most unused.
-		slices.SortFunc(rest, func(a, b peer.Machine) int {
-			return cmp.Or(-cmp.Compare(c.unusedFor(a), c.unusedFor(b)), cmp.Compare(a.ID, b.ID))
-		})
-		d.Machines = append(d.Machines, rest[:min(len(rest), maxBusyRows)]...)
-	}
-	d.All = len(s.machines)
+	d.Machines = append(d.Machines, c.busyRows(busy)...)
 	for _, name := range sortedKeys(zones) {
 		d.Zones = append(d.Zones, *zones[name])
 	}
@@ -130,6 +78,76 @@
 	return d
 }
 
+// countMachine adds a machine to its share's sums and its zone's, by its state, and
+// gives its row.
+func (c *Core) countMachine(s *share, m *machine, d *peer.Demand, z *peer.Zone) peer.Machine {
+	v, cpus := m.v, c.types[m.rec.Type].CPUs
+	used := min(v.sum.cpus, cpus)
+	row := peer.Machine{ID: m.id, State: c.stateOf(m), Busy: used, Movable: true}
+	z.All++
+	switch row.State {
+	case peer.MachineBooting:
+		d.Booting += cpus
+		z.All--
+	case peer.MachineDoubt:
+		if v.unanswered >= 2 {
+			row.SinceUS = int64(c.now - s.claimedAt)
+		}
+		d.Doubt++
+		d.HeldUS = max(int64(s.freeAt-c.now), 0)
+		if c.now-s.claimedAt > doubtReturn {
+			z.Silent++
+		}
+	case peer.MachineIdle:
+		row.SinceUS = int64(c.now - v.idleAt)
+		d.CPUs += cpus
+	case peer.MachineSilent:
+		d.Silent++
+		z.Silent++
+		row.SinceUS = int64(c.unheard(v))
+		if c.leaseRunningOut(v) {
+			row.SinceUS = max(row.SinceUS, int64(c.unanswered(v)))
+		}
+		if r := &v.reach; r.unshown > 0 {
+			row.SinceUS = max(row.SinceUS, int64(c.now-r.since))
+		}
+	case peer.MachineBusy:
+		d.CPUs += cpus
+		d.Busy += used
+	}
+	return row
+}
+
+// countAttempts adds what a machine's attempts have left to do, and what moving them
+// would lose.
+func (c *Core) countAttempts(m *machine, d *peer.Demand, row *peer.Machine) {
+	for _, sl := range m.v.list {
+		if sl.job == nil || sl.state == slotExited {
+			continue
+		}
+		if !c.movable(sl) {
+			row.Movable = false
+		} else if sl.job.sub.CheckpointS <= 0 {
+			row.LostUS += int64(float64(c.now-sl.runAt) * sl.job.sub.CPUs)
+		}
+		left := c.left(sl)
+		row.LeftUS = max(row.LeftUS, int64(left))
+		d.RunLeftUS += int64(float64(left) * sl.job.sub.CPUs)
+	}
+}
+
+// busyRows are the busy machines that the leader is told of: those that are empty
+// soonest, and those of the others that stand most unused.
+func (c *Core) busyRows(busy []peer.Machine) []peer.Machine {
+	slices.SortFunc(busy, func(a, b peer.Machine) int { return cmp.Or(cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID)) })
+	n := min(len(busy), maxBusyRows)
+	rest := busy[n:]
+	slices.SortFunc(rest, func(a, b peer.Machine) int {
+		return cmp.Or(-cmp.Compare(c.unusedFor(a), c.unusedFor(b)), cmp.Compare(a.ID, b.ID))
+	})
+	return busy[:n+min(len(rest), maxBusyRows)]
+}
+
 // unusedFor is how much of a machine stands unused until it is empty, in CPU
 // seconds.
 func (c *Core) unusedFor(row peer.Machine) float64 {
--- a/internal/core/level.go
+++ b/internal/core/level.go
@@ -68,27 +68,71 @@
 	}
 }
 
+// leveling is one round of moving machines between shares, in CPUs by share.
+type leveling struct {
+	part  map[int]float64 // what each should have
+	has   map[int]float64 // what it has, moves under way counted where they go
+	lack  map[int]float64 // what its waiting tasks want beyond what stands free
+	spare map[int]float64 // where nothing waits: what may be drained without loss
+	rows  []levelRow
+	// draining counts the machines that are emptied for another share.
+	draining int
+}
+
+// levelRow is a machine that may be moved.
+type levelRow struct {
+	peer.Machine
+	from int
+	cpus float64
+}
+
+const (
+	// maxDraining bounds machines drained for other shares at a time, beyond what may
+	// be drained without loss: one that empties slowly stands half used meanwhile.
+	maxDraining = 2
+	// drainWithin is how soon such a machine must be empty.
+	drainWithin = 15 * micros.Second
+	// plannedFor is how long a planned move is held to.
+	plannedFor = 45 * micros.Second
+	// leastMove is the least lack, in CPUs, that a machine is moved for.
+	leastMove = 0.5
+)
+
 // level moves machines to the shares whose queues wait: idle ones at once, busy
 // ones as they empty, where a share has more than its part of the fleet.
 func (c *Core) level(demand map[int]*peer.Demand) {
+	l := c.newLeveling(demand)
+	for _, r := range l.rows {
+		to, most := c.destination(demand, l, r)
+		if to < 0 || !c.mayMove(demand[r.from], l, r, most) {
+			continue
+		}
+		idle := r.State == peer.MachineIdle
+		l.has[r.from] -= r.cpus
+		l.has[to] += r.cpus
+		l.lack[to] -= r.cpus
+		if !idle {
+			c.fleet.plannedMoves[r.ID] = plannedMove{share: to, until: c.now + plannedFor}
+		}
+		c.askRelease(r.ID, peer.Release{Share: to, Drain: !idle})
+	}
+}
+
+// newLeveling adds up what shares have and lack, and lists the machines that may be
+// moved: idle ones first, then those that are empty soonest.
+func (c *Core) newLeveling(demand map[int]*peer.Demand) *leveling {
 	total := 0.0
 	for _, d := range demand {
 		total += d.CPUs
 	}
-	part := c.parts(demand, total)
-	has := map[int]float64{}
-	lack := map[int]float64{}
+	l := &leveling{part: c.parts(demand, total), has: map[int]float64{}, lack: map[int]float64{}, spare: map[int]float64{}}
 	for id, d := range demand {
-		has[id] = d.CPUs
-		lack[id] = max(0, waitingCPUs(d)-(d.CPUs-d.Busy))
-	}
-	type row struct {
-		peer.Machine
-		from int
-		cpus float64
+		l.has[id] = d.CPUs
+		l.lack[id] = max(0, waitingCPUs(d)-(d.CPUs-d.Busy))
+		if waitingCPUs(d) == 0 {
+			l.spare[id] = (d.CPUs - d.Busy) - d.CPUs/20
+		}
 	}
-	var rows []row
-	leaving := 0
 	for _, id := range shareIDs(demand) {
 		for _, m := range demand[id].Machines {
 			rec := c.mach[m.ID]
@@ -96,76 +140,77 @@
 				continue
 			}
 			cpus := c.types[rec.rec.Type].CPUs
-			switch {
-			case m.State == peer.MachineDraining:
-				// On its way out already: it counts where it goes.
-				to, ok := c.fleet.plannedMoves[m.ID]
-				switch {
-				case !ok || c.now >= to.until:
-				case !to.retire && waitingCPUs(demand[id]) > 0 && has[id] < part[id]:
-					delete(c.fleet.plannedMoves, m.ID) // its share needs it again
-				case to.retire:
-					c.askRelease(m.ID, peer.Release{Retire: true, Drain: true})
-				default:
-					leaving++
-					has[to.share] += cpus
-					lack[to.share] = max(0, lack[to.share]-cpus)
-					c.askRelease(m.ID, peer.Release{Share: to.share, Drain: true})
-				}
-			case m.State == peer.MachineIdle || m.State == peer.MachineBusy:
-				rows = append(rows, row{m, id, cpus})
+			switch m.State {
+			case peer.MachineDraining:
+				c.goOnDraining(demand[id], l, levelRow{m, id, cpus})
+			case peer.MachineIdle, peer.MachineBusy:
+				l.rows = append(l.rows, levelRow{m, id, cpus})
 			}
 		}
 	}
-	slices.SortStableFunc(rows, func(a, b row) int {
+	slices.SortStableFunc(l.rows, func(a, b levelRow) int {
 		return cmp.Or(cmp.Compare(a.State, b.State), cmp.Compare(a.LeftUS, b.LeftUS), cmp.Compare(a.ID, b.ID))
 	})
-	// Where nothing waits, what is free may be drained without loss.
-	spare := map[int]float64{}
-	for id, d := range demand {
-		if waitingCPUs(d) == 0 {
-			spare[id] = (d.CPUs - d.Busy) - d.CPUs/20
-		}
+	return l
+}
+
+// goOnDraining repeats the request for a machine that is on its way out, unless its
+// share needs it again. It counts where it goes.
+func (c *Core) goOnDraining(own *peer.Demand, l *leveling, r levelRow) {
+	to, ok := c.fleet.plannedMoves[r.ID]
+	switch {
+	case !ok || c.now >= to.until:
+	case !to.retire && waitingCPUs(own) > 0 && l.has[r.from] < l.part[r.from]:
+		delete(c.fleet.plannedMoves, r.ID)
+	case to.retire:
+		c.askRelease(r.ID, peer.Release{Retire: true, Drain: true})
+	default:
+		l.draining++
+		l.has[to.share] += r.cpus
+		l.lack[to.share] = max(0, l.lack[to.share]-r.cpus)
+		c.askRelease(r.ID, peer.Release{Share: to.share, Drain: true})
 	}
-	for _, r := range rows {
-		idle := r.State == peer.MachineIdle
-		unused := r.cpus - r.Busy
-		to, most := -1, 0.5
-		for _, id := range shareIDs(demand) {
-			if id == r.from || !c.useful(demand[id], c.mach[r.ID]) {
-				continue
-			}
-			gap := part[id] - has[id]
-			if idle {
-				gap = max(gap, 0) + 0.01 // any queue is better than none
-			}
-			if v := min(lack[id], gap); v > most || idle && lack[id] > 0.5 && to < 0 {
-				to, most = id, v
-			}
-		}
-		own := demand[r.from]
-		switch {
-		case to < 0:
-			continue
-		case idle && waitingCPUs(own) > 0 && c.useful(own, c.mach[r.ID]):
-			continue // its own share is about to use it
-		case !idle && (most < r.cpus/2 || has[r.from]-part[r.from] < r.cpus/2):
+}
+
+// destination is the share that a machine would help most, and by how many CPUs; -1 if
+// there is none.
+func (c *Core) destination(demand map[int]*peer.Demand, l *leveling, r levelRow) (to int, most float64) {
+	idle := r.State == peer.MachineIdle
+	to, most = -1, leastMove
+	for _, id := range shareIDs(demand) {
+		if id == r.from || !c.useful(demand[id], c.mach[r.ID]) {
 			continue
-		case !idle && spare[r.from] >= unused && unused > 0:
-			spare[r.from] -= unused
-		case !idle && (r.LeftUS > int64(15*micros.Second) || leaving >= 2):
-			continue // a machine that empties slowly stands half used meanwhile
-		case !idle:
-			leaving++
 		}
-		has[r.from] -= r.cpus
-		has[to] += r.cpus
-		lack[to] -= r.cpus
-		if !idle {
-			c.fleet.plannedMoves[r.ID] = plannedMove{share: to, until: c.now + 45*micros.Second}
+		gap := l.part[id] - l.has[id]
+		if idle {
+			gap = max(gap, 0) + 0.01 // any queue is better than none
 		}
-		c.askRelease(r.ID, peer.Release{Share: to, Drain: !idle})
+		if v := min(l.lack[id], gap); v > most || idle && l.lack[id] > leastMove && to < 0 {
+			to, most = id, v
+		}
+	}
+	return to, most
+}
+
+// mayMove tells whether a machine may leave its share for one that it helps by most
+// CPUs, and notes what that takes.
+func (c *Core) mayMove(own *peer.Demand, l *leveling, r levelRow, most float64) bool {
+	if r.State == peer.MachineIdle {
+		// Its own share may be about to use it.
+		return waitingCPUs(own) == 0 || !c.useful(own, c.mach[r.ID])
+	}
+	unused := r.cpus - r.Busy
+	switch {
+	case most < r.cpus/2 || l.has[r.from]-l.part[r.from] < r.cpus/2:
+		return false
+	case l.spare[r.from] >= unused && unused > 0:
+		l.spare[r.from] -= unused
+	case r.LeftUS > int64(drainWithin) || l.draining >= maxDraining:
+		return false
+	default:
+		l.draining++
 	}
+	return true
 }
 
 // useful tells whether a share's waiting tasks could use a machine.
