Too long a list of dependencies is refused before any of them is looked up

Cause: the size was checked after a read for each name, up to 5,000, and past a hundred queued reads the answer was 503 on one node and 400 on another. TestTooManyDependencies, seen to fail without it. ParseSubmission split by step.

--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -45,6 +45,8 @@
 	// told are the Status messages that reached the other controllers.
 	told []peer.Status
 	done []wire.Txn // carried out
+	// reads counts reads of single keys.
+	reads int
 	// refusals counts transactions refused as too large.
 	refusals int
 	// listed is what the cloud lists.
@@ -158,6 +160,7 @@
 	case RenewLease:
 		result(200, nil)
 	case GetKey:
+		h.reads++
 		if kv, ok := h.keys[r.Key]; ok {
 			result(200, &kv)
 		} else {
--- a/internal/core/pipelines_test.go
+++ b/internal/core/pipelines_test.go
@@ -89,6 +89,31 @@
 	}
 }
 
+// A list of dependencies too long for a record is refused alike whether they are known
+// or not, and without a read for each.
+func TestTooManyDependencies(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		h := meet(t, func(c *Config) { withPeer(c); c.ValueBytes = 2 << 10 })
+		for _, id := range names(100, 150) {
+			if known {
+				h.put(wire.JobKey(id), wire.JobRecord{State: wire.StateDone, Tasks: 1})
+			}
+		}
+		before := h.reads
+		if a := h.submit(after("job-000009", 1, names(100, 5000)...)); a.Status != 400 {
+			t.Errorf("known %v: answered %d, want 400", known, a.Status)
+		}
+		if n := h.reads - before; n > 1 {
+			t.Errorf("known %v: %d reads, want one, of the job itself", known, n)
+		}
+		// An accepted job's repeat gets its state all the same.
+		h.submit(jobOf("job-000010", 1))
+		if a := h.submit(after("job-000010", 1, names(100, 5000)...)); a.Status != 200 {
+			t.Errorf("a repeat that names too many: %d", a.Status)
+		}
+	}
+}
+
 func names(from, n int) (out []string) {
 	for i := range n {
 		out = append(out, fmt.Sprintf("job-%06d", from+i))
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -281,6 +281,11 @@
 		c.refuseSubmission(in.Reply, id, 422)
 		return
 	}
+	if !c.fitsRecord(&in.Job) {
+		// Said before its dependencies are looked up: a list may name thousands.
+		c.refuseSubmission(in.Reply, id, 400)
+		return
+	}
 	if len(c.jobs.open) >= c.cfg.OpenJobs || c.stateQueued() > 40 {
 		c.answer(in.Reply, 429, nil, 2)
 		return
@@ -299,6 +304,17 @@
 	})
 }
 
+// fitsRecord: the record of a job, dependencies and all, is no larger than the state
+// service takes.
+func (c *Core) fitsRecord(sub *wire.Submission) bool {
+	value, err := wire.Encode(wire.NewJobRecord(sub, c.wall.Millis()))
+	if err == nil && c.storable(value) {
+		return true
+	}
+	c.log(Info, "job record does not fit, refused", "job", sub.ID, "bytes", len(value), "dependencies", len(sub.Dependencies), "error", err)
+	return false
+}
+
 // refuseSubmission answers a submission that can't be taken, unless its job was accepted
 // before: then it says how that stands.
 func (c *Core) refuseSubmission(r ReplyID, id string, status int) {
@@ -373,9 +389,9 @@
 		rec = wire.JobRecord{AcceptedMS: rec.AcceptedMS, State: wire.StateCancelled, Tasks: sub.Tasks, EndMS: rec.AcceptedMS}
 	}
 	value, err := wire.Encode(rec)
-	if err != nil || !c.storable(value) {
-		c.log(Info, "job record does not fit, refused", "job", id, "bytes", len(value), "dependencies", len(sub.Dependencies), "error", err)
-		done(400, "")
+	if err != nil {
+		c.log(Error, "job record not encoded", "job", id, "error", err)
+		done(503, "")
 		return
 	}
 	cr := &creation{waiters: []func(int, string){done}}
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -95,16 +95,7 @@
 	var s Submission
 	var raw rawSubmission
 	if err := Decode(body, &raw); err != nil {
-		var only struct {
-			ID any `cbor:"nameId"`
-		}
-		id := ""
-		if Decode(body, &only) == nil {
-			if v, ok := only.ID.(string); ok && ValidID(v) {
-				id = v
-			}
-		}
-		return s, &SubmissionError{ID: id, Reason: err.Error()}
+		return s, &SubmissionError{ID: idOfMalformed(body), Reason: err.Error()}
 	}
 	p := &parse{}
 	s.ID = text(p, "id", raw.ID)
@@ -147,27 +138,10 @@
 		s.Zone = text(p, "zone", raw.Zone)
 	}
 	if raw.Types != nil {
-		// An empty list allows nothing; that is for the meaning (422) to say.
-		s.Types = append([]string{}, *raw.Types...)
-		if len(s.Types) > 64 {
-			p.fail("too many machine types")
-		}
-		for _, t := range s.Types {
-			if t == "" || len(t) > 100 {
-				p.fail("a machine type has no usable name")
-			}
-		}
+		s.Types = parseTypes(p, *raw.Types)
 	}
 	if raw.Follows != nil {
-		named := make(map[string]bool, len(*raw.Follows))
-		for _, id := range *raw.Follows {
-			if !ValidID(id) {
-				p.fail("a dependency is no job's id")
-			} else if !named[id] {
-				named[id] = true
-				s.Dependencies = append(s.Dependencies, id)
-			}
-		}
+		s.Dependencies = parseDependencies(p, *raw.Follows)
 	}
 	if p.reason != "" {
 		id := s.ID
@@ -179,6 +153,54 @@
 	return s, nil
 }
 
+// idOfMalformed gives the id of a job that a body names properly, whatever else is
+// wrong with it; empty if it names none.
+func idOfMalformed(body []byte) string {
+	var only struct {
+		ID any `cbor:"nameId"`
+	}
+	if Decode(body, &only) != nil {
+		return ""
+	}
+	if id, ok := only.ID.(string); ok && ValidID(id) {
+		return id
+	}
+	return ""
+}
+
+const (
+	maxTypes    = 64
+	maxTypeName = 100
+)
+
+// parseTypes checks a list of machine types. An empty one allows nothing; that is for
+// the meaning (422) to say.
+func parseTypes(p *parse, names []string) []string {
+	if len(names) > maxTypes {
+		p.fail("too many machine types")
+	}
+	for _, name := range names {
+		if name == "" || len(name) > maxTypeName {
+			p.fail("a machine type has no usable name")
+		}
+	}
+	return append([]string{}, names...)
+}
+
+// parseDependencies checks a list of jobs' ids and names each once.
+func parseDependencies(p *parse, ids []string) (out []string) {
+	named := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		if !ValidID(id) {
+			p.fail("a dependency is no job's id")
+		} else if !named[id] {
+			named[id] = true
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 type parse struct{ reason string }
 
 func (p *parse) fail(reason string) {
