--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -9,24 +9,24 @@
 
 // Attempts at tasks on machines: what a report says of them, and what follows from it.
 
-type slotKey struct {
+type attemptKey struct {
 	job     string
 	idx     int
 	attempt uint64
 }
 
-type slotState int
+type attemptState int
 
-// A slot's life. Up to slotUnclear the worker may not know of the attempt.
+// An attempt's life. Up to attemptUnclear the worker may not know of the attempt.
 const (
-	slotAssigned slotState = iota // not sent
-	slotSent                      // in a report's answer: the next report shows it
-	slotOrdered                   // in a direct order whose answer is awaited
-	slotUnclear                   // in a direct order that was not answered
-	slotFetching
-	slotRunning
-	slotSaving
-	slotExited
+	attemptAssigned attemptState = iota // not sent
+	attemptSent                         // in a report's answer: the next report shows it
+	attemptOrdered                      // in a direct order whose answer is awaited
+	attemptUnclear                      // in a direct order that was not answered
+	attemptFetching
+	attemptRunning
+	attemptSaving
+	attemptExited
 )
 
 // How a task is to be stopped.
@@ -36,14 +36,14 @@
 	haltHard
 )
 
-// slot is one attempt at a task on one machine. From its making until it is
+// attempt is one attempt at a task on one machine. From its making until it is
 // gone it counts against room, limits and placement.
-type slot struct {
-	key      slotKey
+type attempt struct {
+	key      attemptKey
 	job      *job // nil: not known (yet)
 	idx      int
 	m        *machine
-	state    slotState
+	state    attemptState
 	sentSeq  uint64
 	listed   uint64 // the round of observe that saw it last
 	owned    bool   // it stands in job.run.active
@@ -62,37 +62,37 @@
 // started by a direct order and did not complete must stay known until a higher
 // token was seen: a repeat of that order, which can follow the end of the
 // process that sent it, has no effect only as long as the attempt is known.
-func (sl *slot) clearable() bool {
-	return sl.state == slotExited && sl.acted &&
-		(sl.ordered == 0 || sl.why == wire.WhyDone || sl.prefetch || sl.m.v.token > sl.ordered)
+func (att *attempt) clearable() bool {
+	return att.state == attemptExited && att.acted &&
+		(att.ordered == 0 || att.why == wire.WhyDone || att.prefetch || att.m.v.token > att.ordered)
 }
 
-// addSlot puts an attempt on a machine's list.
-func (c *Core) addSlot(sl *slot) {
-	sl.m.v.put(sl)
-	c.touch(sl.m)
+// addAttempt puts an attempt on a machine's list.
+func (c *Core) addAttempt(att *attempt) {
+	att.m.v.put(att)
+	c.touch(att.m)
 }
 
-func (v *view) put(sl *slot) {
-	v.slots[sl.key] = sl
-	v.list = append(v.list, sl)
+func (v *view) put(att *attempt) {
+	v.attempts[att.key] = att
+	v.list = append(v.list, att)
 }
 
-// dropSlot takes it off again.
-func (c *Core) dropSlot(sl *slot) {
-	v := sl.m.v
-	if v == nil || v.slots[sl.key] != sl {
+// dropAttempt takes it off again.
+func (c *Core) dropAttempt(att *attempt) {
+	v := att.m.v
+	if v == nil || v.attempts[att.key] != att {
 		return
 	}
-	delete(v.slots, sl.key)
-	if i := slices.Index(v.list, sl); i >= 0 {
+	delete(v.attempts, att.key)
+	if i := slices.Index(v.list, att); i >= 0 {
 		v.list = slices.Delete(v.list, i, i+1)
 	}
-	c.touch(sl.m)
+	c.touch(att.m)
 }
 
 // each gives a machine's attempts; they may be dropped meanwhile.
-func (v *view) each() []*slot { return slices.Clone(v.list) }
+func (v *view) each() []*attempt { return slices.Clone(v.list) }
 
 // takeList takes the tasks that a machine lists.
 func (c *Core) takeList(m *machine, rep *wire.Report, checkin bool) {
@@ -105,149 +105,149 @@
 		if err != nil {
 			continue
 		}
-		key := slotKey{job: id, idx: idx, attempt: t.Attempt}
-		sl := v.slots[key]
-		if sl == nil {
+		key := attemptKey{job: id, idx: idx, attempt: t.Attempt}
+		att := v.attempts[key]
+		if att == nil {
 			if len(v.list) > 4000 {
 				continue
 			}
-			sl = &slot{key: key, idx: idx, m: m, since: c.now, haltAt: -micros.Never}
-			c.addSlot(sl)
+			att = &attempt{key: key, idx: idx, m: m, since: c.now, haltAt: -micros.Never}
+			c.addAttempt(att)
 		}
-		sl.listed = c.round
-		c.update(sl, t)
+		att.listed = c.round
+		c.update(att, t)
 	}
-	for _, sl := range v.each() {
+	for _, att := range v.each() {
 		c.looks++
-		if sl.listed == c.round {
+		if att.listed == c.round {
 			continue
 		}
-		switch sl.state {
-		case slotAssigned, slotOrdered, slotUnclear:
+		switch att.state {
+		case attemptAssigned, attemptOrdered, attemptUnclear:
 			// Not sent, or its message may still be under way.
-		case slotSent:
-			if checkin && rep.Seq > sl.sentSeq {
-				c.freeSlot(sl, false) // the answer that carried it was dropped
+		case attemptSent:
+			if checkin && rep.Seq > att.sentSeq {
+				c.freeAttempt(att, false) // the answer that carried it was dropped
 			}
-		case slotExited:
-			c.dropSlot(sl)
+		case attemptExited:
+			c.dropAttempt(att)
 		default:
-			c.log(Info, "task vanished from its machine", "task", wire.TaskName(sl.key.job, sl.idx), "machine", m.id)
-			c.freeSlot(sl, true)
+			c.log(Info, "task vanished from its machine", "task", wire.TaskName(att.key.job, att.idx), "machine", m.id)
+			c.freeAttempt(att, true)
 		}
 	}
 }
 
 // update takes one task's state from a report.
-func (c *Core) update(sl *slot, t *wire.TaskReport) {
-	was := sl.state
+func (c *Core) update(att *attempt, t *wire.TaskReport) {
+	was := att.state
 	defer func() {
-		if sl.state != was {
-			c.touch(sl.m)
+		if att.state != was {
+			c.touch(att.m)
 		}
 	}()
 	switch t.State {
 	case wire.TaskFetching:
-		sl.state = slotFetching
+		att.state = attemptFetching
 	case wire.TaskRunning:
-		sl.state = slotRunning
-		if sl.runAt == 0 {
-			sl.runAt = c.now
+		att.state = attemptRunning
+		if att.runAt == 0 {
+			att.runAt = c.now
 		}
-		if sl.job != nil {
-			sl.m.v.images[sl.job.sub.Image] = true
+		if att.job != nil {
+			att.m.v.images[att.job.sub.Image] = true
 		}
 	case wire.TaskSaving:
-		sl.state = slotSaving
+		att.state = attemptSaving
 	case wire.TaskExited:
-		if was == slotExited {
+		if was == attemptExited {
 			return
 		}
-		sl.state, sl.why = slotExited, t.Why
-		sl.since = c.now
-		c.log(Debug, "task exited", "task", t.Task, "machine", sl.m.id, "why", t.Why, "saved", t.Saved, "ran_s", sl.ran(c.now).Seconds())
-		if sl.owned {
-			c.exited(sl)
+		att.state, att.why = attemptExited, t.Why
+		att.since = c.now
+		c.log(Debug, "task exited", "task", t.Task, "machine", att.m.id, "why", t.Why, "saved", t.Saved, "ran_s", att.ran(c.now).Seconds())
+		if att.owned {
+			c.exited(att)
 		}
 		return
 	}
-	if was != sl.state {
-		sl.since = c.now
+	if was != att.state {
+		att.since = c.now
 	}
 }
 
 // ran is how long an attempt has been seen running.
-func (sl *slot) ran(now micros.Micros) micros.Micros {
-	if sl.runAt == 0 {
+func (att *attempt) ran(now micros.Micros) micros.Micros {
+	if att.runAt == 0 {
 		return 0
 	}
-	return now - sl.runAt
+	return now - att.runAt
 }
 
 // adopt matches tasks found on a machine with their jobs, or stops what should not
 // be there.
 func (c *Core) adopt(m *machine) {
-	for _, sl := range m.v.each() {
-		if sl.owned || sl.state < slotFetching {
+	for _, att := range m.v.each() {
+		if att.owned || att.state < attemptFetching {
 			continue
 		}
-		if sl.prefetch {
-			c.notePrefetched(sl)
+		if att.prefetch {
+			c.notePrefetched(att)
 			continue
 		}
-		if _, over := c.jobs.final(sl.key.job); over {
-			if sl.state == slotExited {
-				sl.acted = true
+		if _, over := c.jobs.final(att.key.job); over {
+			if att.state == attemptExited {
+				att.acted = true
 			} else {
-				c.stop(sl, haltHard)
+				c.stop(att, haltHard)
 			}
 			continue
 		}
-		j := c.jobs.open[sl.key.job]
+		j := c.jobs.open[att.key.job]
 		if j == nil {
-			c.lookUp(sl) // the watch may yet bring it
+			c.lookUp(att) // the watch may yet bring it
 			continue
 		}
-		if j.share != m.rec.Share || sl.idx >= j.sub.Tasks {
-			sl.job = j
-			c.stop(sl, haltHard)
-			sl.acted = sl.state == slotExited
+		if j.share != m.rec.Share || att.idx >= j.sub.Tasks {
+			att.job = j
+			c.stop(att, haltHard)
+			att.acted = att.state == attemptExited
 			continue
 		}
-		if sl.job != j {
-			sl.job = j
+		if att.job != j {
+			att.job = j
 			c.touch(m)
 		}
 		r := j.run
 		if r == nil || !r.ready {
 			continue
 		}
-		if sl.state == slotExited {
-			if sl.acted {
+		if att.state == attemptExited {
+			if att.acted {
 				continue
 			}
-			if sl.why == wire.WhyDone {
-				c.taskDone(j, sl.idx, sl)
-				c.awaitSave(j, sl)
+			if att.why == wire.WhyDone {
+				c.taskDone(j, att.idx, att)
+				c.awaitSave(j, att)
 			} else {
-				sl.acted = true
+				att.acted = true
 			}
 			continue
 		}
-		if other := r.active[sl.idx]; other != nil || r.done.has(sl.idx) {
-			if other != sl && sl.halt != haltHard {
-				c.log(Info, "surplus attempt stopped", "task", wire.TaskName(j.id, sl.idx), "machine", m.id)
-				c.stop(sl, haltHard)
+		if other := r.active[att.idx]; other != nil || r.done.has(att.idx) {
+			if other != att && att.halt != haltHard {
+				c.log(Info, "surplus attempt stopped", "task", wire.TaskName(j.id, att.idx), "machine", m.id)
+				c.stop(att, haltHard)
 			}
 			continue
 		}
-		sl.owned = true
-		r.active[sl.idx] = sl
-		if sl.state == slotRunning {
+		att.owned = true
+		r.active[att.idx] = att
+		if att.state == attemptRunning {
 			m.v.images[j.sub.Image] = true
 		}
 		if r.want == wire.StateCancelled {
-			c.stop(sl, haltHard)
+			c.stop(att, haltHard)
 		}
 	}
 }
@@ -258,15 +258,15 @@
 
 // lookUp reads the job of a stray attempt, one at a time; the next report of the
 // machine finds it. What nobody submitted is stopped.
-func (c *Core) lookUp(sl *slot) {
-	if c.lookingUp || sl.state == slotExited || c.now < sl.since+strayFor {
+func (c *Core) lookUp(att *attempt) {
+	if c.lookingUp || att.state == attemptExited || c.now < att.since+strayFor {
 		return
 	}
 	c.lookingUp = true
-	c.readJob(sl.key.job, func(status int) {
+	c.readJob(att.key.job, func(status int) {
 		c.lookingUp = false
-		if v := sl.m.v; status == 404 && v != nil && v.slots[sl.key] == sl {
-			c.stop(sl, haltHard)
+		if v := att.m.v; status == 404 && v != nil && v.attempts[att.key] == att {
+			c.stop(att, haltHard)
 		}
 	})
 }
@@ -280,31 +280,31 @@
 	}
 }
 
-// freeSlot forgets an attempt that is on no machine (any more); its task waits
+// freeAttempt forgets an attempt that is on no machine (any more); its task waits
 // again unless it is done. lost says that work was under way.
-func (c *Core) freeSlot(sl *slot, lost bool) {
-	c.dropSlot(sl)
-	c.requeue(sl, lost)
+func (c *Core) freeAttempt(att *attempt, lost bool) {
+	c.dropAttempt(att)
+	c.requeue(att, lost)
 }
 
 // requeue lets an attempt's task wait again, unless it is done or not ours.
-func (c *Core) requeue(sl *slot, lost bool) {
-	if !sl.owned {
+func (c *Core) requeue(att *attempt, lost bool) {
+	if !att.owned {
 		return
 	}
-	sl.owned = false
-	j := sl.job
-	if j == nil || j.run == nil || j.run.active[sl.idx] != sl {
+	att.owned = false
+	j := att.job
+	if j == nil || j.run == nil || j.run.active[att.idx] != att {
 		return
 	}
-	delete(j.run.active, sl.idx)
-	if !j.run.done.has(sl.idx) {
-		j.requeue(sl.idx)
+	delete(j.run.active, att.idx)
+	if !j.run.done.has(att.idx) {
+		j.requeue(att.idx)
 		s := c.own.shares[j.share]
 		s.firstWait = min(s.firstWait, j.place)
 		if lost {
 			c.noteRecovery(j)
-			c.log(Debug, "task lost, restarting from the newest Version", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
+			c.log(Debug, "task lost, restarting from the newest Version", "task", wire.TaskName(j.id, att.idx), "machine", att.m.id)
 		}
 	}
 	c.placementDue = true
@@ -314,75 +314,75 @@
 // orders that were not answered are kept: a machine that hung may yet find them.
 func (c *Core) freeAll(m *machine, reason string, ordersVoid bool) {
 	n := 0
-	for _, sl := range m.v.list {
-		if sl.state != slotExited {
+	for _, att := range m.v.list {
+		if att.state != attemptExited {
 			n++
 		}
 	}
 	if n > 0 {
 		c.log(Info, "machine holds no tasks any more, what ran there restarts from the newest Version", "machine", m.id, "reason", reason, "tasks", n)
 	}
-	for _, sl := range m.v.each() {
-		if !ordersVoid && (sl.state == slotOrdered || sl.state == slotUnclear) {
+	for _, att := range m.v.each() {
+		if !ordersVoid && (att.state == attemptOrdered || att.state == attemptUnclear) {
 			continue
 		}
-		if sl.state == slotExited {
-			c.dropSlot(sl) // dealt with when it was seen
+		if att.state == attemptExited {
+			c.dropAttempt(att) // dealt with when it was seen
 			continue
 		}
-		c.freeSlot(sl, sl.state >= slotFetching)
+		c.freeAttempt(att, att.state >= attemptFetching)
 	}
 }
 
 // exited deals with the end of an attempt of ours.
-func (c *Core) exited(sl *slot) {
-	j, m := sl.job, sl.m
+func (c *Core) exited(att *attempt) {
+	j, m := att.job, att.m
 	c.placementDue = true
-	switch sl.why {
+	switch att.why {
 	case wire.WhyDone:
-		if sl.runAt > max(c.behindAt, 0) { // else its end may have been seen late, for lack of time here
-			took := c.now - sl.runAt
+		if att.runAt > max(c.behindAt, 0) { // else its end may have been seen late, for lack of time here
+			took := c.now - att.runAt
 			c.noteSpeed(m, j, took)
 			c.runs.learn(j.sub, took)
 		}
 		clear(m.v.failJobs)
-		sl.owned = false
-		if j.run != nil && j.run.active[sl.idx] == sl {
-			delete(j.run.active, sl.idx)
-			c.taskDone(j, sl.idx, sl)
-			c.awaitSave(j, sl)
+		att.owned = false
+		if j.run != nil && j.run.active[att.idx] == att {
+			delete(j.run.active, att.idx)
+			c.taskDone(j, att.idx, att)
+			c.awaitSave(j, att)
 		} else {
-			sl.acted = true
+			att.acted = true
 		}
 		return
 	case wire.WhyError:
-		c.noteFailure(sl)
+		c.noteFailure(att)
 	case wire.WhyNoRoom, wire.WhyInUse, wire.WhyUnknown:
 		// Disagreements about state, not failures: look again a little later.
 		m.v.restUntil = c.now + 2*micros.Second
-		c.log(Info, "start refused", "task", wire.TaskName(j.id, sl.idx), "machine", m.id, "why", sl.why)
+		c.log(Info, "start refused", "task", wire.TaskName(j.id, att.idx), "machine", m.id, "why", att.why)
 	}
-	sl.acted = true
-	c.requeue(sl, false)
+	att.acted = true
+	c.requeue(att, false)
 }
 
 // saveAll stops a machine's tasks so that they go on elsewhere, if all of them
 // may.
 func (c *Core) saveAll(m *machine) {
-	slots := m.v.each()
-	for _, sl := range slots {
-		if sl.state != slotExited && sl.state != slotSaving && !c.movable(sl) {
+	attempts := m.v.each()
+	for _, att := range attempts {
+		if att.state != attemptExited && att.state != attemptSaving && !c.movable(att) {
 			return
 		}
 	}
-	for _, sl := range slots {
+	for _, att := range attempts {
 		switch {
-		case sl.state != slotRunning:
-		case sl.job.sub.CheckpointS > 0:
-			c.stop(sl, haltSave)
+		case att.state != attemptRunning:
+		case att.job.sub.CheckpointS > 0:
+			c.stop(att, haltSave)
 		default:
-			sl.job.run.stopped[sl.idx]++
-			c.stop(sl, haltHard)
+			att.job.run.stopped[att.idx]++
+			c.stop(att, haltHard)
 		}
 	}
 }
--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -81,7 +81,7 @@
 			from.list = slices.DeleteFunc(from.list, func(o *machine) bool { return o == m })
 			if moved {
 				if m.v != nil && !m.v.empty() {
-					c.log(Error, "machine moved with tasks on it", "machine", m.id, "slots", len(m.v.list))
+					c.log(Error, "machine moved with tasks on it", "machine", m.id, "attempts", len(m.v.list))
 				}
 				c.detach(m)
 			}
--- a/internal/core/begin.go
+++ b/internal/core/begin.go
@@ -31,8 +31,8 @@
 
 // onlyStart: the attempt is all that an overdue job has got, and is not to be
 // stopped for another if that can be helped.
-func (c *Core) onlyStart(sl *slot) bool {
-	return sl.owned && c.waitsLong(sl.job) && len(sl.job.run.active) == 1
+func (c *Core) onlyStart(att *attempt) bool {
+	return att.owned && c.waitsLong(att.job) && len(att.job.run.active) == 1
 }
 
 // keptForStart is how long a machine's room is kept for an overdue job before
@@ -72,32 +72,32 @@
 // room for one of a job's; Never if they can't.
 func (c *Core) roomAfter(j *job, m *machine) micros.Micros {
 	type end struct {
-		sl   *slot
+		att  *attempt
 		left micros.Micros
 	}
 	var ends []end
-	for _, sl := range m.v.list {
-		if sl.job != nil && sl.state != slotExited {
-			ends = append(ends, end{sl, c.left(sl)})
+	for _, att := range m.v.list {
+		if att.job != nil && att.state != attemptExited {
+			ends = append(ends, end{att, c.left(att)})
 		}
 	}
-	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.sl.idx, b.sl.idx)) })
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.att.idx, b.att.idx)) })
 	after, room := micros.Micros(0), c.room(m)
 	for want := shapeOf(j.sub); !want.covers(room); {
 		if len(ends) == 0 {
 			return micros.Never
 		}
-		after, room = ends[0].left, room.plus(shapeOf(ends[0].sl.job.sub))
+		after, room = ends[0].left, room.plus(shapeOf(ends[0].att.job.sub))
 		ends = ends[1:]
 	}
 	return after
 }
 
 // left is how long an attempt will probably take yet.
-func (c *Core) left(sl *slot) micros.Micros {
-	left := c.runs.expect(sl.job.sub)
-	if sl.runAt > 0 {
-		left = max(left-(c.now-sl.runAt), left/10)
+func (c *Core) left(att *attempt) micros.Micros {
+	left := c.runs.expect(att.job.sub)
+	if att.runAt > 0 {
+		left = max(left-(c.now-att.runAt), left/10)
 	}
 	return left
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -445,11 +445,11 @@
 			}
 			h.run(10 * sec)
 			for i := range tc.well {
-				h.c.jobs.open["job-000001"].run.active[100+i] = &slot{runAt: h.now - 6*sec}
+				h.c.jobs.open["job-000001"].run.active[100+i] = &attempt{runAt: h.now - 6*sec}
 			}
 			for _, f := range tc.failures {
 				j, m := h.c.jobs.open[f[0]], h.c.mach[f[1]]
-				h.c.noteFailure(&slot{job: j, m: m, idx: 0})
+				h.c.noteFailure(&attempt{job: j, m: m, idx: 0})
 			}
 			for _, id := range []string{"vm-1", "vm-2", "vm-3"} {
 				want := false
@@ -655,7 +655,7 @@
 			low := jobOf("job-000002", 1)
 			low.Priority, low.CheckpointS, low.SaveS = "best_effort", 5, 2
 			h.submit(low)
-			victim := &slot{job: h.c.jobs.open["job-000002"], state: slotRunning}
+			victim := &attempt{job: h.c.jobs.open["job-000002"], state: attemptRunning}
 			if got := h.c.haltFor(victim, j) == haltHard; got != tc.want {
 				t.Errorf("stopped without saving: %v, want %v", got, tc.want)
 			}
--- a/internal/core/demand.go
+++ b/internal/core/demand.go
@@ -121,18 +121,18 @@
 // countAttempts adds what a machine's attempts have left to do, and what moving them
 // would lose.
 func (c *Core) countAttempts(m *machine, d *peer.Demand, row *peer.Machine) {
-	for _, sl := range m.v.list {
-		if sl.job == nil || sl.state == slotExited {
+	for _, att := range m.v.list {
+		if att.job == nil || att.state == attemptExited {
 			continue
 		}
-		if !c.movable(sl) {
+		if !c.movable(att) {
 			row.Movable = false
-		} else if sl.job.sub.CheckpointS <= 0 {
-			row.LostUS += int64(float64(c.now-sl.runAt) * sl.job.sub.CPUs)
+		} else if att.job.sub.CheckpointS <= 0 {
+			row.LostUS += int64(float64(c.now-att.runAt) * att.job.sub.CPUs)
 		}
-		left := c.left(sl)
+		left := c.left(att)
 		row.LeftUS = max(row.LeftUS, int64(left))
-		d.RunLeftUS += int64(float64(left) * sl.job.sub.CPUs)
+		d.RunLeftUS += int64(float64(left) * att.job.sub.CPUs)
 	}
 }
 
@@ -161,18 +161,18 @@
 // movable: a running task may be stopped so that its machine can be returned. It
 // can save, or its job is late already by what its class or its user wants, it
 // has not been stopped before, and most of its work is still ahead.
-func (c *Core) movable(sl *slot) bool {
-	if !sl.owned || sl.state != slotRunning || sl.job.run == nil {
+func (c *Core) movable(att *attempt) bool {
+	if !att.owned || att.state != attemptRunning || att.job.run == nil {
 		return false
 	}
-	if sl.job.sub.CheckpointS > 0 {
+	if att.job.sub.CheckpointS > 0 {
 		return true
 	}
-	ran := c.now - sl.runAt
-	if sl.job.run.stopped[sl.idx] > 0 || 3*ran > c.runs.expect(sl.job.sub) {
+	ran := c.now - att.runAt
+	if att.job.run.stopped[att.idx] > 0 || 3*ran > c.runs.expect(att.job.sub) {
 		return false
 	}
-	due := c.dueOf(sl.job)
+	due := c.dueOf(att.job)
 	return due < micros.Never && c.wall > due
 }
 
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -179,20 +179,20 @@
 // What an overdue job has begun with is the last to be stopped for others.
 func TestOnlyStart(t *testing.T) {
 	h := newHarness(t, func(c *Config) { c.BeginWithin = 30 * sec })
-	attempt := func(waited micros.Micros, others int) *slot {
+	newAttempt := func(waited micros.Micros, others int) *attempt {
 		sub := jobOf("job-000001", 10)
-		j := &job{sub: &sub, rec: wire.JobRecord{AcceptedMS: (h.now - waited).Millis()}, run: &run{stopped: map[int]int{}, active: map[int]*slot{}}}
-		sl := &slot{job: j, runAt: h.now - sec, owned: true}
+		j := &job{sub: &sub, rec: wire.JobRecord{AcceptedMS: (h.now - waited).Millis()}, run: &run{stopped: map[int]int{}, active: map[int]*attempt{}}}
+		att := &attempt{job: j, runAt: h.now - sec, owned: true}
 		for i := range 1 + others {
-			j.run.active[i] = sl
+			j.run.active[i] = att
 		}
-		return sl
+		return att
 	}
 	h.c.now, h.c.wall = h.now, h.now
-	if a, b := h.c.lossOf(attempt(sec, 0)), h.c.lossOf(attempt(40*sec, 0)); a >= b {
+	if a, b := h.c.lossOf(newAttempt(sec, 0)), h.c.lossOf(newAttempt(40*sec, 0)); a >= b {
 		t.Errorf("loss %v of a young job's only task, %v of an overdue one's", a, b)
 	}
-	if a, b := h.c.lossOf(attempt(40*sec, 0)), h.c.lossOf(attempt(40*sec, 3)); a <= b {
+	if a, b := h.c.lossOf(newAttempt(40*sec, 0)), h.c.lossOf(newAttempt(40*sec, 3)); a <= b {
 		t.Errorf("loss %v of an only task, %v of one of several", a, b)
 	}
 }
@@ -399,7 +399,7 @@
 		{"young", 20 * sec, run{}, false},
 		{"nothing started", 40 * sec, run{}, true},
 		{"its only start was stopped", 40 * sec, run{firstRun: sec}, true},
-		{"one is running", 40 * sec, run{active: map[int]*slot{0: {}}}, false},
+		{"one is running", 40 * sec, run{active: map[int]*attempt{0: {}}}, false},
 		{"one is done", 40 * sec, run{count: 1}, false},
 		{"it fails everywhere", 40 * sec, run{probeAt: sec}, false},
 	} {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -51,7 +51,7 @@
 type run struct {
 	done    bitset
 	count   int
-	active  map[int]*slot
+	active  map[int]*attempt
 	next    int     // tasks from here on were never tried
 	again   intHeap // tasks to try again
 	fresh   bool    // accepted after our claim: no former owner can have started it
@@ -64,8 +64,8 @@
 	verDirty bool
 	verBusy  bool
 	verNext  micros.Micros
-	saved    bitset  // tasks whose end is in a recorded Version
-	ended    []*slot // exited tasks that wait for that
+	saved    bitset     // tasks whose end is in a recorded Version
+	ended    []*attempt // exited tasks that wait for that
 
 	ending bool // a transaction that ends the job was sent and not settled
 	// unsure: one was sent whose outcome is not known for good. A late copy of it may
@@ -209,7 +209,7 @@
 	j.run = &run{
 		done:    newBitset(j.sub.Tasks),
 		saved:   newBitset(j.sub.Tasks),
-		active:  map[int]*slot{},
+		active:  map[int]*attempt{},
 		fresh:   j.mark > s.mark,
 		fails:   map[string]int{},
 		failed:  map[int]int{},
@@ -270,7 +270,7 @@
 	return 0, false
 }
 
-// requeue puts a task back after its slot is gone.
+// requeue puts a task back after its attempt is gone.
 func (j *job) requeue(idx int) {
 	if idx >= j.run.next {
 		return // still ahead of the cursor
@@ -282,7 +282,7 @@
 func (j *job) running() int {
 	n := 0
 	for _, s := range j.run.active {
-		if s.state == slotRunning || s.state == slotSaving {
+		if s.state == attemptRunning || s.state == attemptSaving {
 			n++
 		}
 	}
@@ -299,7 +299,7 @@
 }
 
 // taskDone notes that a task has completed.
-func (c *Core) taskDone(j *job, idx int, s *slot) {
+func (c *Core) taskDone(j *job, idx int, s *attempt) {
 	r := j.run
 	if r == nil || idx >= j.sub.Tasks || !r.done.set(idx) {
 		return
@@ -323,11 +323,11 @@
 }
 
 // awaitSave keeps an exited task until its end is in a recorded Version.
-func (c *Core) awaitSave(j *job, sl *slot) {
-	if r := j.run; r == nil || r.saved.has(sl.idx) {
-		sl.acted = true
+func (c *Core) awaitSave(j *job, att *attempt) {
+	if r := j.run; r == nil || r.saved.has(att.idx) {
+		att.acted = true
 	} else {
-		r.ended = append(r.ended, sl)
+		r.ended = append(r.ended, att)
 	}
 }
 
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -45,8 +45,8 @@
 	since    micros.Micros
 	reach    reach
 
-	slots          map[slotKey]*slot
-	list           []*slot           // the same, in the order in which they came up
+	attempts       map[attemptKey]*attempt
+	list           []*attempt        // the same, in the order in which they came up
 	shown          []wire.TaskReport // the list last taken in whole,
 	listed         uint64            // in this round of observe
 	sum            tally
@@ -95,8 +95,8 @@
 
 // empty: nothing on the machine matters any more.
 func (v *view) empty() bool {
-	for _, sl := range v.list {
-		if sl.state != slotExited || !sl.acted {
+	for _, att := range v.list {
+		if att.state != attemptExited || !att.acted {
 			return false
 		}
 	}
@@ -105,7 +105,7 @@
 
 func (c *Core) newView() *view {
 	return &view{
-		slots: map[slotKey]*slot{}, images: map[string]bool{}, failJobs: map[string]int{},
+		attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, failJobs: map[string]int{},
 		heard: -micros.Never, answered: -micros.Never, settledAt: -micros.Never,
 		since: c.now, idleAt: c.now, stale: true,
 	}
@@ -235,9 +235,9 @@
 	}
 	if v.unclear != 0 && rep.Token > v.unclear {
 		v.unclear = 0 // unanswered orders are void now; what they did is in this report
-		for _, sl := range v.list {
-			if sl.state == slotUnclear {
-				sl.state, sl.sentSeq = slotSent, 0
+		for _, att := range v.list {
+			if att.state == attemptUnclear {
+				att.state, att.sentSeq = attemptSent, 0
 			}
 		}
 		c.placementDue = true
@@ -245,8 +245,8 @@
 	if !c.unchanged(v, rep) {
 		c.takeList(m, rep, checkin)
 	}
-	for _, sl := range v.list {
-		if sl.listed == v.listed && !sl.owned && !sl.acted {
+	for _, att := range v.list {
+		if att.listed == v.listed && !att.owned && !att.acted {
 			c.adopt(m)
 			break
 		}
@@ -265,8 +265,8 @@
 	if n != len(v.list) || n != len(v.shown) || n > 0 && &rep.Tasks[0] != &v.shown[0] {
 		return false
 	}
-	for _, sl := range v.list {
-		if sl.listed != v.listed {
+	for _, att := range v.list {
+		if att.listed != v.listed {
 			return false
 		}
 	}
@@ -275,8 +275,8 @@
 
 // busy: something on it still runs or may.
 func (v *view) busy() bool {
-	for _, sl := range v.list {
-		if sl.state != slotExited {
+	for _, att := range v.list {
+		if att.state != attemptExited {
 			return true
 		}
 	}
@@ -369,8 +369,8 @@
 // kept counts the attempts that wait for a token above the current one.
 func (v *view) kept(token uint64) int {
 	n := 0
-	for _, sl := range v.list {
-		if sl.state == slotExited && sl.acted && !sl.clearable() && sl.ordered >= token {
+	for _, att := range v.list {
+		if att.state == attemptExited && att.acted && !att.clearable() && att.ordered >= token {
 			n++
 		}
 	}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -39,44 +39,44 @@
 		return out
 	}
 	zero := 0.0
-	for _, sl := range v.list {
+	for _, att := range v.list {
 		if len(out) >= most {
 			return out
 		}
-		if sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited {
+		if att.halt != haltNone && att.state >= attemptSent && att.state != attemptExited {
 			grace := &zero
-			if sl.halt == haltSave && sl.job != nil {
-				g := sl.job.sub.SaveS + 1
+			if att.halt == haltSave && att.job != nil {
+				g := att.job.sub.SaveS + 1
 				grace = &g
 			}
-			if sl.state == slotSaving && sl.halt == haltSave {
+			if att.state == attemptSaving && att.halt == haltSave {
 				continue
 			}
-			sl.haltAt = c.now
-			out = append(out, wire.Command{Op: wire.OpStop, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, GraceS: grace})
+			att.haltAt = c.now
+			out = append(out, wire.Command{Op: wire.OpStop, Task: wire.TaskName(att.key.job, att.idx), Attempt: att.key.attempt, GraceS: grace})
 		}
 	}
 	// A stop never waits behind these.
-	for _, sl := range v.list {
-		if len(out) < most && sl.clearable() {
-			out = append(out, wire.Command{Op: wire.OpForget, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
+	for _, att := range v.list {
+		if len(out) < most && att.clearable() {
+			out = append(out, wire.Command{Op: wire.OpForget, Task: wire.TaskName(att.key.job, att.idx), Attempt: att.key.attempt})
 		}
 	}
 	if !forReport && v.unclear != 0 || !c.mayStart() {
 		return out
 	}
-	for _, sl := range v.list {
-		if len(out) >= most || sl.state != slotAssigned {
+	for _, att := range v.list {
+		if len(out) >= most || att.state != attemptAssigned {
 			continue
 		}
 		if forReport {
-			sl.state, sl.sentSeq = slotSent, v.seq
+			att.state, att.sentSeq = attemptSent, v.seq
 		} else {
-			sl.state, sl.ordered = slotOrdered, c.token(c.own.shares[m.rec.Share], m)
+			att.state, att.ordered = attemptOrdered, c.token(c.own.shares[m.rec.Share], m)
 		}
-		sl.since = c.now
+		att.since = c.now
 		c.touch(m)
-		out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt})
+		out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(att.key.job, att.idx), Attempt: att.key.attempt})
 	}
 	return out
 }
@@ -89,12 +89,12 @@
 	if v.unclear != 0 && c.token(c.own.shares[m.rec.Share], m) > v.unclear && c.unheard(v) <= c.late() {
 		return true
 	}
-	for _, sl := range v.list {
-		if sl.state == slotAssigned && v.unclear == 0 {
+	for _, att := range v.list {
+		if att.state == attemptAssigned && v.unclear == 0 {
 			return true
 		}
-		if sl.halt != haltNone && sl.state >= slotSent && sl.state != slotExited && c.now-sl.haltAt >= micros.Second &&
-			!(sl.state == slotSaving && sl.halt == haltSave) {
+		if att.halt != haltNone && att.state >= attemptSent && att.state != attemptExited && c.now-att.haltAt >= micros.Second &&
+			!(att.state == attemptSaving && att.halt == haltSave) {
 			return true
 		}
 	}
@@ -166,18 +166,18 @@
 		}
 		executed := ok && r.Status == 200
 		refused := r.NotSent || ok && r.Status == 409
-		for _, sl := range v.each() {
-			if sl.state != slotOrdered {
+		for _, att := range v.each() {
+			if att.state != attemptOrdered {
 				continue
 			}
 			c.touch(m)
 			switch {
 			case executed:
-				sl.state, sl.sentSeq = slotSent, rep.Seq
+				att.state, att.sentSeq = attemptSent, rep.Seq
 			case refused:
-				c.freeSlot(sl, false)
+				c.freeAttempt(att, false)
 			default:
-				sl.state = slotUnclear
+				att.state = attemptUnclear
 				v.unclear = max(v.unclear, token)
 			}
 		}
--- a/internal/core/placement.go
+++ b/internal/core/placement.go
@@ -66,9 +66,9 @@
 	}
 	clear(used)
 	v.sum = tally{used: used}
-	for _, sl := range v.list {
+	for _, att := range v.list {
 		c.looks++
-		c.addTo(&v.sum, sl)
+		c.addTo(&v.sum, att)
 	}
 	if v.doubt || v.sum.stray {
 		// It may hold anything that fits, of any team of the share.
@@ -81,21 +81,21 @@
 }
 
 // addTo adds an attempt to a tally.
-func (c *Core) addTo(t *tally, sl *slot) {
-	if sl.state == slotExited {
+func (c *Core) addTo(t *tally, att *attempt) {
+	if att.state == attemptExited {
 		return
 	}
-	if sl.job == nil {
+	if att.job == nil {
 		t.stray = true
 		return
 	}
-	sub := sl.job.sub
-	t.used[sl.job.team].add(sub)
+	sub := att.job.sub
+	t.used[att.job.team].add(sub)
 	t.cpus += sub.CPUs
 	t.gpus += sub.GPUs
 	t.mem += sub.MemGB
 	t.tasks++
-	if sl.halt != haltNone {
+	if att.halt != haltNone {
 		t.soonCPUs += sub.CPUs
 		t.soonGPUs += sub.GPUs
 		t.soonMem += sub.MemGB
@@ -435,8 +435,8 @@
 		return nil
 	}
 	zones := map[string]int{}
-	for _, sl := range j.run.active {
-		zones[sl.m.rec.Zone]++
+	for _, att := range j.run.active {
+		zones[att.m.rec.Zone]++
 	}
 	return zones
 }
@@ -510,8 +510,8 @@
 
 // fetches: an attempt there waits for an image, or will.
 func (v *view) fetches(image string) bool {
-	for _, sl := range v.list {
-		if sl.state <= slotFetching && sl.job != nil && sl.job.sub.Image == image {
+	for _, att := range v.list {
+		if att.state <= attemptFetching && att.job != nil && att.job.sub.Image == image {
 			return true
 		}
 	}
@@ -520,11 +520,11 @@
 
 // assign makes the attempt; it is sent with the next answer or order.
 func (c *Core) assign(s *share, j *job, idx int, m *machine) {
-	sl := c.newAttempt(s, j, idx, m)
-	sl.owned = true
+	att := c.newAttempt(s, j, idx, m)
+	att.owned = true
 	v := m.v
 	v.idleAt = c.now
-	j.run.active[idx] = sl
+	j.run.active[idx] = att
 	if j.run.firstRun == 0 {
 		j.run.firstRun = c.now
 	}
@@ -537,19 +537,19 @@
 }
 
 // newAttempt puts an attempt on a machine, to be sent, and takes its room.
-func (c *Core) newAttempt(s *share, j *job, idx int, m *machine) *slot {
+func (c *Core) newAttempt(s *share, j *job, idx int, m *machine) *attempt {
 	c.attempts++
-	key := slotKey{job: j.id, idx: idx, attempt: s.mark<<32 | c.attempts&0xffffffff}
-	sl := &slot{key: key, job: j, idx: idx, m: m, state: slotAssigned, since: c.now, haltAt: -micros.Never}
+	key := attemptKey{job: j.id, idx: idx, attempt: s.mark<<32 | c.attempts&0xffffffff}
+	att := &attempt{key: key, job: j, idx: idx, m: m, state: attemptAssigned, since: c.now, haltAt: -micros.Never}
 	v := m.v
 	fresh := !v.stale // then its tally can be kept, which spares counting it again
-	v.put(sl)
+	v.put(att)
 	if fresh {
-		c.addTo(&v.sum, sl)
+		c.addTo(&v.sum, att)
 		s.used[j.team].add(j.sub)
 	} else {
 		c.touch(m)
 	}
 	c.queueOrder(m)
-	return sl
+	return att
 }
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -88,7 +88,7 @@
 // offer is the cheapest way to make room for one task on a machine.
 type offer struct {
 	m    *machine
-	set  []*slot
+	set  []*attempt
 	cost float64
 }
 
@@ -117,7 +117,7 @@
 	}
 	room = room.plus(shape{v.sum.soonCPUs, v.sum.soonGPUs, v.sum.soonMem}).plus(shape{-held.cpus, -held.gpus, -held.mem})
 	type victim struct {
-		sl   *slot
+		att  *attempt
 		loss float64
 	}
 	o := &offer{m: m}
@@ -128,24 +128,24 @@
 		return o // others are on their way out
 	}
 	var cands []victim
-	for _, sl := range v.list {
-		if sl.job != nil && (sl.owned && sl.job.priority < j.priority || sl.prefetch) && sl.halt == haltNone && sl.state != slotExited {
-			cands = append(cands, victim{sl, c.lossOf(sl)})
+	for _, att := range v.list {
+		if att.job != nil && (att.owned && att.job.priority < j.priority || att.prefetch) && att.halt == haltNone && att.state != attemptExited {
+			cands = append(cands, victim{att, c.lossOf(att)})
 		}
 	}
 	if len(cands) == 0 {
 		return nil
 	}
 	slices.SortFunc(cands, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.sl.key.job, b.sl.key.job), cmp.Compare(a.sl.idx, b.sl.idx))
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.att.key.job, b.att.key.job), cmp.Compare(a.att.idx, b.att.idx))
 	})
 	for _, x := range cands {
 		if want.covers(room) {
 			break
 		}
-		o.set = append(o.set, x.sl)
+		o.set = append(o.set, x.att)
 		o.cost += x.loss
-		room = room.plus(shapeOf(x.sl.job.sub))
+		room = room.plus(shapeOf(x.att.job.sub))
 	}
 	if !want.covers(room) {
 		return nil
@@ -157,13 +157,13 @@
 // down the line would take it and be stopped for it in turn.
 func (c *Core) take(j *job, o *offer) {
 	v := o.m.v
-	for _, sl := range o.set {
+	for _, att := range o.set {
 		c.preempt.stops--
-		if r := sl.job.run; r != nil && sl.owned {
-			r.stopped[sl.idx]++
+		if r := att.job.run; r != nil && att.owned {
+			r.stopped[att.idx]++
 		}
-		c.stop(sl, c.haltFor(sl, j))
-		c.log(Debug, "task stopped for a job of higher priority", "task", wire.TaskName(sl.job.id, sl.idx), "machine", o.m.id, "for", j.id)
+		c.stop(att, c.haltFor(att, j))
+		c.log(Debug, "task stopped for a job of higher priority", "task", wire.TaskName(att.job.id, att.idx), "machine", o.m.id, "for", j.id)
 	}
 	if v.reserved.job != j {
 		v.reserved = reservation{job: j}
@@ -231,28 +231,28 @@
 const littleLoss = 100
 
 // lossOf is the work, in CPU seconds, that stopping an attempt throws away.
-func (c *Core) lossOf(sl *slot) float64 {
+func (c *Core) lossOf(att *attempt) float64 {
 	ran := 0.0
-	if sl.runAt != 0 {
-		ran = (c.now - sl.runAt).Seconds()
+	if att.runAt != 0 {
+		ran = (c.now - att.runAt).Seconds()
 	}
-	if k := sl.job.sub.CheckpointS; k > 0 {
+	if k := att.job.sub.CheckpointS; k > 0 {
 		ran = min(ran, k) // at most an interval is unsaved
 	}
 	// Its user also waits longer, which counts for more the higher its priority,
 	// the longer it runs, and the more often it was stopped before: the youngest
 	// tasks are the cheapest, and a task that has just been started again is young
 	// (three stops within 9 s put a job's end off by minutes).
-	prio := float64(sl.job.priority)
+	prio := float64(att.job.priority)
 	again := 0.0
-	if r := sl.job.run; r != nil {
-		again = float64(r.stopped[sl.idx])
+	if r := att.job.run; r != nil {
+		again = float64(r.stopped[att.idx])
 	}
-	if c.onlyStart(sl) {
+	if c.onlyStart(att) {
 		again += 10
 	}
-	return ran*sl.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[sl.job.priority] +
-		prio*(4+0.25*c.runs.expect(sl.job.sub).Seconds()) + stoppedBefore*again
+	return ran*att.job.sub.CPUs*[...]float64{0.25, 1, 2, 2}[att.job.priority] +
+		prio*(4+0.25*c.runs.expect(att.job.sub).Seconds()) + stoppedBefore*again
 }
 
 // stoppedBefore is what each earlier stop of a task adds to the loss of another.
@@ -260,11 +260,11 @@
 
 // haltFor says how a victim is stopped: with time to save, unless the job that
 // waits is wanted started sooner than that.
-func (c *Core) haltFor(sl *slot, j *job) int {
-	if sl.job.sub.CheckpointS <= 0 || sl.state != slotRunning {
+func (c *Core) haltFor(att *attempt, j *job) int {
+	if att.job.sub.CheckpointS <= 0 || att.state != attemptRunning {
 		return haltHard
 	}
-	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent && within < 2*micros.FromSeconds(sl.job.sub.SaveS) {
+	if within, urgent := c.cfg.Urgent[j.sub.Class]; urgent && within < 2*micros.FromSeconds(att.job.sub.SaveS) {
 		return haltHard
 	}
 	if c.pressed(j) {
@@ -275,15 +275,15 @@
 
 // stop marks an attempt to be stopped; one that was never sent is just
 // forgotten.
-func (c *Core) stop(sl *slot, how int) {
-	if sl.state == slotAssigned {
-		c.freeSlot(sl, false)
+func (c *Core) stop(att *attempt, how int) {
+	if att.state == attemptAssigned {
+		c.freeAttempt(att, false)
 		return
 	}
-	if sl.halt < how {
-		sl.halt = how
-		sl.haltAt = -micros.Never
-		c.touch(sl.m)
-		c.queueOrder(sl.m)
+	if att.halt < how {
+		att.halt = how
+		att.haltAt = -micros.Never
+		c.touch(att.m)
+		c.queueOrder(att.m)
 	}
 }
--- a/internal/core/prefetch.go
+++ b/internal/core/prefetch.go
@@ -79,13 +79,13 @@
 }
 
 // notePrefetched takes the state of a prefetching attempt.
-func (c *Core) notePrefetched(sl *slot) {
-	if sl.state != slotExited {
+func (c *Core) notePrefetched(att *attempt) {
+	if att.state != attemptExited {
 		return
 	}
-	sl.acted = true
-	if sl.why == wire.WhyDone {
-		sl.m.v.images[sl.job.sub.Image] = true
+	att.acted = true
+	if att.why == wire.WhyDone {
+		att.m.v.images[att.job.sub.Image] = true
 		c.placementDue = true
 	}
 }
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -8,17 +8,17 @@
 )
 
 // noteFailure weighs a failed task: is the machine at fault, or the job?
-func (c *Core) noteFailure(sl *slot) {
-	j, v := sl.job, sl.m.v
+func (c *Core) noteFailure(att *attempt) {
+	j, v := att.job, att.m.v
 	r := j.run
 	v.failJobs[j.id]++
-	c.log(Debug, "task failed", "task", wire.TaskName(j.id, sl.idx), "machine", sl.m.id)
+	c.log(Debug, "task failed", "task", wire.TaskName(j.id, att.idx), "machine", att.m.id)
 	if r == nil {
 		return
 	}
-	r.fails[sl.m.id]++
-	r.failed[sl.idx]++
-	r.failAfter = max(r.failAfter, sl.ran(c.now))
+	r.fails[att.m.id]++
+	r.failed[att.idx]++
+	r.failAfter = max(r.failAfter, att.ran(c.now))
 	if c.suspect(j) {
 		// Failing everywhere: throttled until its user cancels it. The protocol
 		// has no answer that says "failed".
@@ -42,16 +42,16 @@
 	for _, n := range v.failJobs {
 		failures += n
 	}
-	if len(v.failJobs) >= 2 || failures >= 2 && c.provenElsewhere(j, sl.m) || failures >= 3 {
+	if len(v.failJobs) >= 2 || failures >= 2 && c.provenElsewhere(j, att.m) || failures >= 3 {
 		if !v.faulty {
-			c.log(Info, "machine set aside, its tasks fail", "machine", sl.m.id, "failures", failures, "jobs", len(v.failJobs))
+			c.log(Info, "machine set aside, its tasks fail", "machine", att.m.id, "failures", failures, "jobs", len(v.failJobs))
 		}
 		v.faulty = true
 		v.quarantinedUntil = c.now + c.cfg.Quarantine
 		// What still runs there will fail as well.
 		for _, other := range v.each() {
-			if other.owned && other.state == slotAssigned {
-				c.freeSlot(other, false)
+			if other.owned && other.state == attemptAssigned {
+				c.freeAttempt(other, false)
 			}
 		}
 	}
@@ -68,8 +68,8 @@
 		return false
 	}
 	well := 0
-	for _, sl := range r.active {
-		if sl.runAt > 0 && c.now-sl.runAt > r.failAfter+micros.Second {
+	for _, att := range r.active {
+		if att.runAt > 0 && c.now-att.runAt > r.failAfter+micros.Second {
 			well++
 		}
 	}
@@ -81,8 +81,8 @@
 	if j.run.count > 0 {
 		return true
 	}
-	for _, sl := range j.run.active {
-		if sl.m != m && sl.runAt > 0 && c.now-sl.runAt > 5*micros.Second {
+	for _, att := range j.run.active {
+		if att.m != m && att.runAt > 0 && c.now-att.runAt > 5*micros.Second {
 			return true
 		}
 	}
@@ -121,21 +121,21 @@
 func (c *Core) drain(m *machine) {
 	v := m.v
 	left := v.takenAt - c.now
-	for _, sl := range v.each() {
-		if !sl.owned || sl.job == nil || sl.halt != haltNone || sl.state == slotExited {
+	for _, att := range v.each() {
+		if !att.owned || att.job == nil || att.halt != haltNone || att.state == attemptExited {
 			continue
 		}
-		sub := sl.job.sub
+		sub := att.job.sub
 		save := micros.FromSeconds(sub.SaveS)
 		switch {
-		case sl.state < slotRunning:
-			c.stop(sl, haltHard)
+		case att.state < attemptRunning:
+			c.stop(att, haltHard)
 		case sub.CheckpointS > 0 && left > save+micros.Second/2:
-			c.stop(sl, haltSave)
-		case sl.state == slotRunning:
-			rest := c.runs.expect(sub) - (c.now - sl.runAt)
+			c.stop(att, haltSave)
+		case att.state == attemptRunning:
+			rest := c.runs.expect(sub) - (c.now - att.runAt)
 			if rest > left {
-				c.stop(sl, haltHard)
+				c.stop(att, haltHard)
 			}
 		}
 	}
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -63,11 +63,11 @@
 	m := h.c.mach[machineName(i)]
 	v := m.v
 	var tasks []wire.TaskReport
-	for _, sl := range v.list {
-		t := wire.TaskReport{Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, State: wire.TaskRunning}
-		if len(tasks) == 0 && sl.state != slotExited {
+	for _, att := range v.list {
+		t := wire.TaskReport{Task: wire.TaskName(att.key.job, att.idx), Attempt: att.key.attempt, State: wire.TaskRunning}
+		if len(tasks) == 0 && att.state != attemptExited {
 			t.State, t.Why = wire.TaskExited, wire.WhyDone
-		} else if sl.state == slotExited {
+		} else if att.state == attemptExited {
 			continue
 		}
 		tasks = append(tasks, t)
@@ -113,8 +113,8 @@
 	m := h.c.mach[machineName(7)]
 	v := m.v
 	var tasks []wire.TaskReport
-	for _, sl := range v.list {
-		tasks = append(tasks, wire.TaskReport{Task: wire.TaskName(sl.key.job, sl.idx), Attempt: sl.key.attempt, State: wire.TaskRunning})
+	for _, att := range v.list {
+		tasks = append(tasks, wire.TaskReport{Task: wire.TaskName(att.key.job, att.idx), Attempt: att.key.attempt, State: wire.TaskRunning})
 	}
 	say := func(tasks []wire.TaskReport) uint64 {
 		h.c.lastMaintenance, h.c.placementDue = h.now, false
@@ -130,14 +130,14 @@
 		t.Errorf("a report that says nothing new takes %.0f allocations", n)
 	}
 	gone := v.list[0]
-	h.c.dropSlot(gone)
+	h.c.dropAttempt(gone)
 	say(tasks)
-	if v.slots[gone.key] == nil {
+	if v.attempts[gone.key] == nil {
 		t.Error("an attempt that was forgotten here, and is still listed, was not taken in")
 	}
 	kept := len(v.list)
 	say(tasks[1:])
-	if v.slots[gone.key] != nil || len(v.list) == kept+1 {
+	if v.attempts[gone.key] != nil || len(v.list) == kept+1 {
 		t.Error("an attempt that is listed no more is still counted")
 	}
 }
--- a/internal/core/trouble_test.go
+++ b/internal/core/trouble_test.go
@@ -193,7 +193,7 @@
 		if status, _ := h.checkin(tc.rep); status != 503 {
 			t.Errorf("%s: answered %d, want 503", tc.name, status)
 		}
-		if v.heard != heard || v.answered != answered || v.list[0].state != slotRunning {
+		if v.heard != heard || v.answered != answered || v.list[0].state != attemptRunning {
 			t.Errorf("%s: changed something", tc.name)
 		}
 	}
@@ -203,7 +203,7 @@
 	h.open = nil
 	h.checkin(report("vm-1", 1, 40, token, running, wire.TaskReport{Task: "job-000002/0", Attempt: order.Req.(wire.Orders).Commands[0].Attempt, State: wire.TaskRunning}))
 	overtaken := report("vm-1", 1, 39, token)
-	if h.step(Result{ID: order.ID, Status: 200, Body: &overtaken}); len(v.list) != 2 || v.list[0].key.attempt != a || v.list[0].state != slotRunning {
+	if h.step(Result{ID: order.ID, Status: 200, Body: &overtaken}); len(v.list) != 2 || v.list[0].key.attempt != a || v.list[0].state != attemptRunning {
 		t.Errorf("an overtaken answer changed what runs: %d tasks", len(v.list))
 	}
 	// A new owner has no view. A copy from before its claim settles nothing.
@@ -467,21 +467,21 @@
 // length and earlier stops.
 func TestLoss(t *testing.T) {
 	h := newHarness(t, nil)
-	attempt := func(priority string, ran, estimate micros.Micros, stops int) *slot {
+	newAttempt := func(priority string, ran, estimate micros.Micros, stops int) *attempt {
 		sub := jobOf("job-000001", 1)
 		sub.Priority, sub.EstimateS = priority, estimate.Seconds()
 		prio, _ := wire.PriorityOf(priority)
-		return &slot{job: &job{sub: &sub, priority: prio, run: &run{stopped: map[int]int{0: stops}}}, runAt: h.now - ran}
+		return &attempt{job: &job{sub: &sub, priority: prio, run: &run{stopped: map[int]int{0: stops}}}, runAt: h.now - ran}
 	}
 	h.c.now = h.now
 	for _, tc := range []struct {
 		name       string
-		less, more *slot
+		less, more *attempt
 	}{
-		{"less work done", attempt("standard", 2*sec, 10*sec, 0), attempt("standard", 9*sec, 10*sec, 0)},
-		{"lower priority", attempt("best_effort", 5*sec, 10*sec, 0), attempt("standard", 5*sec, 10*sec, 0)},
-		{"shorter", attempt("standard", 5*sec, 10*sec, 0), attempt("standard", 5*sec, 200*sec, 0)},
-		{"never stopped before, though it ran for longer", attempt("standard", 20*sec, 40*sec, 0), attempt("standard", 3*sec, 40*sec, 1)},
+		{"less work done", newAttempt("standard", 2*sec, 10*sec, 0), newAttempt("standard", 9*sec, 10*sec, 0)},
+		{"lower priority", newAttempt("best_effort", 5*sec, 10*sec, 0), newAttempt("standard", 5*sec, 10*sec, 0)},
+		{"shorter", newAttempt("standard", 5*sec, 10*sec, 0), newAttempt("standard", 5*sec, 200*sec, 0)},
+		{"never stopped before, though it ran for longer", newAttempt("standard", 20*sec, 40*sec, 0), newAttempt("standard", 3*sec, 40*sec, 1)},
 	} {
 		if a, b := h.c.lossOf(tc.less), h.c.lossOf(tc.more); a >= b {
 			t.Errorf("%s: %v and %v", tc.name, a, b)
@@ -526,20 +526,20 @@
 	h := newHarness(t, func(c *Config) { c.Finished = map[string]micros.Micros{"late": sec, "early": 60 * micros.Minute} })
 	for _, tc := range []struct {
 		name, class string
-		state       slotState
+		state       attemptState
 		checkpoint  float64
 		ran         micros.Micros
 		stops       int
 		over, want  bool // over: its job is no longer this node's
 	}{
-		{"it can save", "early", slotRunning, 10, 90 * sec, 3, false, true},
-		{"late and young", "late", slotRunning, 0, 20 * sec, 0, false, true},
-		{"still in time", "early", slotRunning, 0, 20 * sec, 0, false, false},
-		{"nobody says when", "other", slotRunning, 0, 20 * sec, 0, false, false},
-		{"late, but much is done", "late", slotRunning, 0, 50 * sec, 0, false, false},
-		{"late, but stopped before", "late", slotRunning, 0, 20 * sec, 1, false, false},
-		{"fetching", "late", slotFetching, 0, 0, 0, false, false},
-		{"its job is over", "late", slotRunning, 10, 20 * sec, 0, true, false},
+		{"it can save", "early", attemptRunning, 10, 90 * sec, 3, false, true},
+		{"late and young", "late", attemptRunning, 0, 20 * sec, 0, false, true},
+		{"still in time", "early", attemptRunning, 0, 20 * sec, 0, false, false},
+		{"nobody says when", "other", attemptRunning, 0, 20 * sec, 0, false, false},
+		{"late, but much is done", "late", attemptRunning, 0, 50 * sec, 0, false, false},
+		{"late, but stopped before", "late", attemptRunning, 0, 20 * sec, 1, false, false},
+		{"fetching", "late", attemptFetching, 0, 0, 0, false, false},
+		{"its job is over", "late", attemptRunning, 10, 20 * sec, 0, true, false},
 	} {
 		sub := jobOf("job-000001", 1)
 		sub.Class, sub.CheckpointS, sub.EstimateS = tc.class, tc.checkpoint, 100
@@ -548,7 +548,7 @@
 			j.run = nil
 		}
 		h.c.now, h.c.wall = 200*sec, 200*sec
-		if got := h.c.movable(&slot{job: j, state: tc.state, owned: true, runAt: h.c.now - tc.ran}); got != tc.want {
+		if got := h.c.movable(&attempt{job: j, state: tc.state, owned: true, runAt: h.c.now - tc.ran}); got != tc.want {
 			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
 		}
 	}
@@ -617,10 +617,10 @@
 				}
 			}
 			pass(5 * sec)
-			for _, sl := range v.each() {
-				if sl.owned && sl.state == slotRunning {
-					sl.state, sl.why = slotExited, wire.WhyDone
-					h.c.exited(sl)
+			for _, att := range v.each() {
+				if att.owned && att.state == attemptRunning {
+					att.state, att.why = attemptExited, wire.WhyDone
+					h.c.exited(att)
 				}
 			}
 			if got := len(h.c.runs.byClass) > 0; got != tc.learns {
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -201,11 +201,11 @@
 // markSaved lets go of exited tasks whose end is on record now.
 func (c *Core) markSaved(j *job) {
 	wait := j.run.ended[:0]
-	for _, sl := range j.run.ended {
-		if j.run.saved.has(sl.idx) {
-			sl.acted = true
+	for _, att := range j.run.ended {
+		if j.run.saved.has(att.idx) {
+			att.acted = true
 		} else {
-			wait = append(wait, sl)
+			wait = append(wait, att)
 		}
 	}
 	clear(j.run.ended[len(wait):])
