--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -350,6 +350,14 @@
 	}
 }
 
+// releaseView is a machine's way out of its share: releasing while a transaction that
+// takes it out may be carried out, planned while it is emptied for that.
+type releaseView struct {
+	releasing      bool
+	plannedRelease peer.Release
+	plannedUntil   micros.Micros // the plan is void then, unless it is asked for again
+}
+
 // release lets machines go, at the leader's request: at once those that are
 // idle, others when they are empty, if they may be drained.
 func (c *Core) release(r peer.Release) bool {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -2,7 +2,6 @@
 
 import (
 	"garnethitch/internal/micros"
-	"garnethitch/internal/peer"
 	"garnethitch/internal/wire"
 )
 
@@ -29,50 +28,45 @@
 
 // view is what the owner of a machine's share knows of it.
 type view struct {
+	sessionView
+	contactView
+	healthView
+	orderView
+	releaseView
+	attemptView
+
+	images       map[string]bool
+	prefetchNext micros.Micros // no image is fetched ahead before
+	idleAt       micros.Micros // when it last had something on it
+	takenAt      micros.Micros // the cloud takes it away then; 0: no notice
+}
+
+// sessionView orders what a machine says, and tells what a former owner may have left
+// on it. What is older than (session, seq) changes nothing.
+type sessionView struct {
 	settled   bool // its task list is complete, and no older command can still act
 	fresh     bool // nobody but this owner can have commanded it; ends with its first report
 	settledAt micros.Micros
 	// doubt: it was on record when the share was claimed, and has neither been
 	// settled nor gone since: a former owner's tasks may be on it.
-	doubt    bool
-	gone     bool // it can hold no task any more; a new session brings it back
-	known    bool // session and seq are set
-	session  uint64
-	seq      uint64
-	token    uint64 // highest that the worker showed
-	heard    micros.Micros
-	answered micros.Micros
-	since    micros.Micros
-	reach    reach
-
-	attempts       map[attemptKey]*attempt
-	list           []*attempt        // the same, in the order in which they came up
-	shown          []wire.TaskReport // the list last taken in whole,
-	listed         uint64            // in this round of observe
-	sum            tally
-	stale          bool // sum is to be counted again
-	reserved       reservation
-	images         map[string]bool
-	idleAt         micros.Micros // when it last had something on it
-	releasing      bool          // it is being released
-	plannedRelease peer.Release  // it is to be released once it is empty,
-	plannedUntil   micros.Micros // if that is asked for until then
+	doubt   bool
+	gone    bool // it can hold no task any more; a new session brings it back
+	known   bool // session and seq are set
+	session uint64
+	seq     uint64
+	token   uint64 // highest that the worker showed
+}
 
-	orderBusy        bool
-	orderQueued      bool
-	showBusy         bool
-	orderNext        micros.Micros
-	showNext         micros.Micros
-	unanswered       int    // requests to settle it that were not answered
-	unclear          uint64 // orders up to this token may still act; 0: none
-	prefetchNext     micros.Micros
-	takenAt          micros.Micros // the cloud takes it away then; 0: no notice
-	failJobs         map[string]int
-	quarantinedUntil micros.Micros
-	faulty           bool
-	slowSum          float64
-	slowN            float64
-	restUntil        micros.Micros // after a disagreement about room
+// attemptView is what is on a machine. Each attempt stands in the map and in the list;
+// sum holds unless stale is set.
+type attemptView struct {
+	attempts map[attemptKey]*attempt
+	list     []*attempt        // the same, in the order in which they came up
+	shown    []wire.TaskReport // the list last taken in whole,
+	listed   uint64            // in this round of observe
+	sum      tally
+	stale    bool // sum is to be counted again
+	reserved reservation
 }
 
 // tally is what the attempts on a machine take, and what is to be done about
@@ -105,9 +99,12 @@
 
 func (c *Core) newView() *view {
 	return &view{
-		attempts: map[attemptKey]*attempt{}, images: map[string]bool{}, failJobs: map[string]int{},
-		heard: -micros.Never, answered: -micros.Never, settledAt: -micros.Never,
-		since: c.now, idleAt: c.now, stale: true,
+		contactView: contactView{heard: -micros.Never, answered: -micros.Never, since: c.now},
+		sessionView: sessionView{settledAt: -micros.Never},
+		attemptView: attemptView{attempts: map[attemptKey]*attempt{}, stale: true},
+		healthView:  healthView{failJobs: map[string]int{}},
+		images:      map[string]bool{},
+		idleAt:      c.now,
 	}
 }
 
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -16,6 +16,18 @@
 	asks     int // settling and probing requests that may still begin in this turn
 }
 
+// orderView is what is under way to a machine beside the answers to its reports: one
+// order and one question at a time.
+type orderView struct {
+	orderBusy   bool
+	orderQueued bool
+	orderNext   micros.Micros
+	unclear     uint64 // orders up to this token may still act; 0: none
+	showBusy    bool
+	showNext    micros.Micros
+	unanswered  int // requests to settle it that were not answered
+}
+
 // budget begins a turn.
 func (q *orderQueue) budget() { q.asks = max(q.most/4, 4) }
 
--- a/internal/core/reach.go
+++ b/internal/core/reach.go
@@ -9,6 +9,15 @@
 // answers and commands do not. Then the starts of the last answer never show,
 // its token stays behind, and later its session rises although it was answered.
 
+// contactView is when a machine was heard and answered, each by this node's clock, and
+// whether our answers arrive.
+type contactView struct {
+	heard    micros.Micros
+	answered micros.Micros
+	since    micros.Micros // when this node's care for it began
+	reach    reach
+}
+
 // reach is what a machine has shown of our answers.
 type reach struct {
 	unshown int           // answers in a row of which nothing showed
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -7,6 +7,17 @@
 	"garnethitch/internal/wire"
 )
 
+// healthView is what speaks against a machine: distinct jobs whose tasks failed there,
+// slowness, disagreements. One that is set aside takes no tasks until then.
+type healthView struct {
+	failJobs         map[string]int
+	quarantinedUntil micros.Micros
+	faulty           bool
+	// slowSum and slowN: how much longer than expected its tasks ran, and how many.
+	slowSum, slowN float64
+	restUntil      micros.Micros // after a disagreement about room
+}
+
 // noteFailure weighs a failed task: is the machine at fault, or the job?
 func (c *Core) noteFailure(att *attempt) {
 	j, v := att.job, att.m.v
