--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -334,6 +334,15 @@
 // scheduleMeetings lets meetings of troubles happen one after the other, in an order
 // that the seed draws.
 func (s *Sim) scheduleMeetings() {
+	list := append(s.meetingsOfOwners(), s.meetingsOfMessages()...)
+	s.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for i, f := range list[:9] {
+		s.after(s.span(5*sec, 9*sec)+micros.Micros(i)*(s.plan.Length-10*sec)/9, f)
+	}
+}
+
+// meetingsOfOwners are those in which controllers end or change.
+func (s *Sim) meetingsOfOwners() []func() {
 	m := &s.meet
 	lease := s.cfg.WorkerLease
 	all := func(down micros.Micros) {
@@ -341,15 +350,7 @@
 			n.crash(s.span(20*ms, down))
 		}
 	}
-	peersOf := func(n *Node) (links []string) {
-		for _, o := range s.Nodes {
-			if o != n {
-				links = append(links, n.peerLink(o.label))
-			}
-		}
-		return links
-	}
-	list := []func(){
+	return []func(){
 		// A report is held back until a new leader has acted; an old one reaches every
 		// controller just as it begins; copies come after newer ones.
 		func() {
@@ -402,6 +403,14 @@
 			s.after(s.span(5*sec, 25*sec), func() { s.State.downUntil = s.now + s.span(sec, 6*sec) })
 			s.after(s.span(5*sec, 25*sec), func() { s.cancelNow(2, 0) })
 		},
+	}
+}
+
+// meetingsOfMessages are those in which messages are late, lost or odd.
+func (s *Sim) meetingsOfMessages() []func() {
+	m := &s.meet
+	lease := s.cfg.WorkerLease
+	return []func(){
 		// A leader ends while machines can't be reached, or don't hear the new one's answer.
 		func() {
 			s.makeUnreachable(0.4, s.span(lease/2, lease+5*sec))
@@ -413,7 +422,7 @@
 		// A leader keeps its workers and users only; jobs are cancelled through another.
 		func() {
 			n := s.owner()
-			s.cut(append(peersOf(n), n.label+"-state"), cutReset, s.span(lease, 2*lease))
+			s.cut(append(n.peerLinks(), n.label+"-state"), cutReset, s.span(lease, 2*lease))
 			for range 3 {
 				s.after(s.span(0, lease), func() { s.cancelNow(2, 0) })
 			}
@@ -429,10 +438,6 @@
 		func() { s.oddRequests(40 * sec) },
 		func() { m.closeUntil = s.now + 40*sec },
 	}
-	s.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for i, f := range list[:9] {
-		s.after(s.span(5*sec, 9*sec)+micros.Micros(i)*(s.plan.Length-10*sec)/9, f)
-	}
 }
 
 // scheduleGap plays the gap twice. What the owner writes is carried out, but its
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -599,6 +599,23 @@
 	return n.label + "-" + call.Addr
 }
 
+// workerLinks are a controller's links to all machines, peerLinks those to the others.
+func (n *Node) workerLinks() (links []string) {
+	for _, name := range n.sim.names {
+		links = append(links, n.label+"-"+name)
+	}
+	return links
+}
+
+func (n *Node) peerLinks() (links []string) {
+	for _, o := range n.sim.Nodes {
+		if o != n {
+			links = append(links, n.peerLink(o.label))
+		}
+	}
+	return links
+}
+
 // peerLink is named alike from both ends.
 func (n *Node) peerLink(other string) string {
 	return min(n.label, other) + "-" + max(n.label, other)
@@ -708,6 +725,34 @@
 	}
 }
 
+// faultKind is one of the troubles that fault draws, each as often as it is listed.
+type faultKind int
+
+const (
+	faultCrash faultKind = iota
+	faultCrashAgain
+	faultCrashAll
+	faultRestartInTurn
+	faultStateOutage
+	faultCutFromState
+	faultCutFromWorkers
+	faultCutFromAll
+	faultCutFromPeers
+	faultCloudOutage
+	faultMachine
+	faultMachineAgain
+	faultRefused
+	faultLateOrders
+	faultLosesState
+	faultLostOrders
+	faultUnreachableMachines
+	faultOnlyWorkersLeft
+	faultBackAtOnce
+	faultLateReports
+	faultKinds
+)
+
+// fault brings one trouble about.
 func (s *Sim) fault() {
 	n := s.Nodes[s.rng.IntN(len(s.Nodes))]
 	mode := cutHold
@@ -715,87 +760,107 @@
 		mode = cutReset
 	}
 	d := s.span(sec, 30*sec)
-	var workerLinks []string
-	for _, name := range s.names {
-		workerLinks = append(workerLinks, n.label+"-"+name)
-	}
-	var peerLinks []string
-	for _, o := range s.Nodes {
-		if o != n {
-			peerLinks = append(peerLinks, n.peerLink(o.label))
-		}
-	}
-	what := s.rng.IntN(20)
+	what := faultKind(s.rng.IntN(int(faultKinds)))
 	s.trace("fault %d at %s for %v s, mode %d", what, n.label, d.Seconds(), mode)
 	switch what {
-	case 0, 1:
+	case faultMachine, faultMachineAgain:
+		s.machineFault(mode)
+	case faultLostOrders, faultUnreachableMachines, faultLateReports:
+		s.messageFault(what, d)
+	case faultCutFromState, faultCutFromWorkers, faultCutFromAll, faultCutFromPeers, faultLateOrders, faultLosesState, faultOnlyWorkersLeft:
+		s.cutFault(what, n, mode, d)
+	default:
+		s.processFault(what, n, d)
+	}
+}
+
+// processFault ends controllers, or takes a service away.
+func (s *Sim) processFault(what faultKind, n *Node, d micros.Micros) {
+	switch what {
+	case faultCrash, faultCrashAgain:
 		n.crash(s.span(50*ms, 6*sec))
-	case 2:
+	case faultCrashAll:
 		for _, o := range s.Nodes {
 			o.crash(s.span(50*ms, 4*sec))
 		}
-	case 3:
+	case faultRestartInTurn:
 		for i, o := range s.Nodes {
 			s.after(micros.Micros(i)*8*sec, func() { o.crash(s.span(50*ms, 4*sec)) })
 		}
-	case 4:
-		s.State.downUntil = s.now + d
-	case 5:
-		s.cut([]string{n.label + "-state"}, mode, d)
-	case 6:
-		s.cut(workerLinks, mode, d)
-	case 7:
-		s.cut(append(append(workerLinks, peerLinks...), n.label+"-state", n.label+"-cloud"), mode, d)
-	case 8:
-		s.cut(peerLinks, mode, d)
-	case 9:
-		s.Cloud.downUntil = s.now + d
-	case 10, 11:
-		if len(s.names) == 0 {
-			return
-		}
-		w := s.workers[s.names[s.rng.IntN(len(s.names))]]
-		switch s.rng.IntN(4) {
-		case 0: // hangs, and goes on
-			w.hungUntil = s.now + s.pause()
-		case 1: // fails every task
-			w.faultyUntil = s.now + 40*sec
-		case 2: // taken away
-			if w.spot {
-				w.notice(s.span(0, 6*sec))
-			}
-		case 3: // cut off from the nodes
-			var links []string
-			for _, o := range s.Nodes {
-				links = append(links, o.label+"-"+w.id)
+	case faultBackAtOnce: // and so are the others while its duties are being taken
+		n.crash(s.span(20*ms, 400*ms))
+		for _, o := range s.Nodes {
+			if o != n {
+				s.after(s.span(100*ms, 5*sec), func() { o.crash(s.span(20*ms, 400*ms)) })
 			}
-			s.cut(links, mode, s.pause())
 		}
-	case 12:
+	case faultStateOutage:
+		s.State.downUntil = s.now + d
+	case faultRefused:
 		s.State.refuse[n.label] = s.now + d
-	case 13: // its messages to workers are held back, it ends, and they arrive after a successor's
-		s.cut(workerLinks, cutHold, s.span(4*sec, 14*sec))
+	case faultCloudOutage:
+		s.Cloud.downUntil = s.now + d
+	}
+}
+
+// cutFault cuts a controller off.
+func (s *Sim) cutFault(what faultKind, n *Node, mode cutMode, d micros.Micros) {
+	state := n.label + "-state"
+	switch what {
+	case faultCutFromState:
+		s.cut([]string{state}, mode, d)
+	case faultCutFromWorkers:
+		s.cut(n.workerLinks(), mode, d)
+	case faultCutFromAll:
+		s.cut(append(append(n.workerLinks(), n.peerLinks()...), state, n.label+"-cloud"), mode, d)
+	case faultCutFromPeers:
+		s.cut(n.peerLinks(), mode, d)
+	case faultLateOrders: // its messages to workers are held back, it ends, and they arrive after a successor's
+		s.cut(n.workerLinks(), cutHold, s.span(4*sec, 14*sec))
 		s.after(s.span(100*ms, 3*sec), func() { n.crash(s.span(4*sec, 20*sec)) })
-	case 14: // it loses the state service for good, comes back with an old view, and soon owns again
-		s.cut([]string{n.label + "-state"}, mode, s.span(5*sec, 25*sec))
-	case 16: // reports of some machines arrive; answers and commands don't reach them
+	case faultLosesState: // for good; it comes back with an old view, and soon owns again
+		s.cut([]string{state}, mode, s.span(5*sec, 25*sec))
+	case faultOnlyWorkersLeft: // it loses the state service and the others, not its workers
+		s.cut(append(n.peerLinks(), state), mode, s.span(5*sec, 35*sec))
+	}
+}
+
+// machineFault is something that happens to one machine.
+func (s *Sim) machineFault(mode cutMode) {
+	if len(s.names) == 0 {
+		return
+	}
+	w := s.workers[s.names[s.rng.IntN(len(s.names))]]
+	switch s.rng.IntN(4) {
+	case 0: // hangs, and goes on
+		w.hungUntil = s.now + s.pause()
+	case 1: // fails every task
+		w.faultyUntil = s.now + 40*sec
+	case 2: // taken away
+		if w.spot {
+			w.notice(s.span(0, 6*sec))
+		}
+	case 3: // cut off from the nodes
+		var links []string
+		for _, o := range s.Nodes {
+			links = append(links, o.label+"-"+w.id)
+		}
+		s.cut(links, mode, s.pause())
+	}
+}
+
+// messageFault loses or delays messages of machines.
+func (s *Sim) messageFault(what faultKind, d micros.Micros) {
+	switch what {
+	case faultUnreachableMachines: // their reports arrive; answers and commands don't reach them
 		for range min(len(s.names), 1+s.rng.IntN(4)) {
 			w := s.workers[s.names[s.rng.IntN(len(s.names))]]
 			w.unreachableUntil = s.now + s.span(4*sec, 30*sec)
 			s.Unreachable++
 		}
-	case 17: // it loses the state service and the others, not its workers
-		s.cut(append(peerLinks, n.label+"-state"), mode, s.span(5*sec, 35*sec))
-	case 18: // it ends and is back at once, and so are the others while its duties are being taken
-		n.crash(s.span(20*ms, 400*ms))
-		for _, o := range s.Nodes {
-			if o != n {
-				s.after(s.span(100*ms, 5*sec), func() { o.crash(s.span(20*ms, 400*ms)) })
-			}
-		}
-	case 19: // copies of reports come late, to any node
+	case faultLateReports: // copies of reports come late, to any node
 		s.copiesUntil = s.now + d
-	case 15: // answers of one machine are lost for a while
+	case faultLostOrders: // answers of one machine are lost for a while
 		if len(s.names) > 0 {
 			w := s.names[s.rng.IntN(len(s.names))]
 			s.lostOrders[w] = s.now + s.span(2*sec, 10*sec)
--- a/internal/standin/wave.go
+++ b/internal/standin/wave.go
@@ -132,15 +132,8 @@
 	case OwnerReturns:
 		n.crash(200 * ms)
 	case OwnerCutOff:
-		links := []string{n.label + "-state", n.label + "-cloud", "user-" + n.label}
-		for _, o := range s.Nodes {
-			if o != n {
-				links = append(links, n.peerLink(o.label))
-			}
-		}
-		for _, name := range s.names {
-			links = append(links, n.label+"-"+name)
-		}
+		links := append(n.workerLinks(), n.label+"-state", n.label+"-cloud", "user-"+n.label)
+		links = append(links, n.peerLinks()...)
 		s.cut(links, cutHold, 15*sec)
 	case OwnerRefused:
 		s.State.refuse[n.label] = s.now + 15*sec
