Questions about dependents of a cancelled job are read where requests are to spare

A node whose watch brings nothing would have answered 503 although the record stands. TestQuestionsAboutDependents, seen to fail either way without the condition.

--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -296,3 +296,25 @@
 		})
 	}
 }
+
+// A question about a job that needs a cancelled one is settled by a read as long as
+// there are requests to spare, and answered 503 at once when there are none: never by
+// an older answer, and never at the cost of the records.
+func TestQuestionsAboutDependents(t *testing.T) {
+	h := wave(t, 3, 1000)
+	h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99}) // which records nothing
+	h.recordEnd("job-000100", wire.StateCancelled, 0)
+	h.watchBlocked = wire.PrefixJob
+	h.put(wire.JobKey(dependentID(0)), wire.JobRecord{State: wire.StateCancelled, Tasks: 1})
+	if got := h.state(dependentID(0)); got != wire.StateCancelled {
+		t.Errorf("called %q, want what the record says", got)
+	}
+	if a := h.poll(dependentID(1)); a.Status != 503 {
+		t.Errorf("one that is not recorded yet is answered %d %q", a.Status, stateOf(a))
+	}
+	h.c.stateq.requests.level = 1
+	before := h.reads
+	if a := h.poll(dependentID(2)); a.Status != 503 || h.reads != before {
+		t.Errorf("without requests to spare: %d after %d reads", a.Status, h.reads-before)
+	}
+}
--- a/internal/core/statequeue.go
+++ b/internal/core/statequeue.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// hasSpareRequests: half of a second's requests to the state service are left, and
+// nothing waits for its turn.
+func (c *Core) hasSpareRequests() bool {
+	q := &c.stateq
+	q.requests.fill(c.now)
+	for prio := range q.queues {
+		if len(q.queues[prio]) > 0 {
+			return false
+		}
+	}
+	return q.requests.level >= q.requests.burst/2
+}
+
 // stateQueued says how much waits in the queues that users' requests use.
 func (c *Core) stateQueued() int {
 	return len(c.stateq.queues[prioAccept])
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -100,7 +100,7 @@
 		fresh()
 		return
 	}
-	if j.dependencyCancelled {
+	if j.dependencyCancelled && !c.hasSpareRequests() {
 		// It is to be recorded as cancelled, and the watch tells when that stands. Reads
 		// for the users of a thousand such jobs would leave no requests for the records.
 		done(peer.Answer{Status: 503})
