--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -174,28 +174,38 @@
 			if got := h.recorded(n); got != tc.want {
 				t.Errorf("%d of %d recorded, want %d", got, n, tc.want)
 			}
-			ends := map[string]int{}
-			for _, e := range h.log {
-				var rec wire.JobRecord
-				if strings.HasPrefix(e.Put, wire.PrefixJob) && wire.Decode(e.Value, &rec) == nil && rec.Final() {
-					ends[e.Put]++
-				}
-			}
-			for key, n := range ends {
-				if n > 1 {
-					t.Errorf("the end of %s is written %d times", key, n)
-				}
-			}
-			for _, txn := range h.done {
-				if len(txn.Then) > 0 && strings.HasPrefix(txn.Then[0].Put, wire.PrefixJob) &&
-					!slices.ContainsFunc(txn.If, func(c wire.Condition) bool { return c.Key == ownerKey(0) && c.Version != 0 }) {
-					t.Errorf("recorded without the owner's claim: %v", txn.If)
-				}
-			}
+			h.checkEndsWrittenOnce()
+			h.checkRecordedUnderAClaim()
 		})
 	}
 }
 
+// checkEndsWrittenOnce: no job's end is recorded a second time.
+func (h *harness) checkEndsWrittenOnce() {
+	ends := map[string]int{}
+	for _, e := range h.log {
+		var rec wire.JobRecord
+		if strings.HasPrefix(e.Put, wire.PrefixJob) && wire.Decode(e.Value, &rec) == nil && rec.Final() {
+			ends[e.Put]++
+		}
+	}
+	for key, n := range ends {
+		if n > 1 {
+			h.t.Errorf("the end of %s is written %d times", key, n)
+		}
+	}
+}
+
+// checkRecordedUnderAClaim: every end of a job is conditional on an owner's claim.
+func (h *harness) checkRecordedUnderAClaim() {
+	for _, txn := range h.done {
+		if len(txn.Then) > 0 && strings.HasPrefix(txn.Then[0].Put, wire.PrefixJob) &&
+			!slices.ContainsFunc(txn.If, func(c wire.Condition) bool { return c.Key == ownerKey(0) && c.Version != 0 }) {
+			h.t.Errorf("recorded without the owner's claim: %v", txn.If)
+		}
+	}
+}
+
 // What is more urgent goes on beside a long list of dependents: jobs are accepted, others
 // end, and the lease is renewed.
 func TestDependentsWaitForTheUrgent(t *testing.T) {
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -109,45 +109,59 @@
 }
 
 func (h *harness) call(c Call) {
-	result := func(status int, body any) { h.step(Result{ID: c.ID, Status: status, Body: body}) }
 	switch c.To {
 	case ToWorker:
 		h.open = append(h.open, c)
-		return
 	case ToPeer:
-		if h.peersDown {
-			return
-		}
-		resp := &peer.Response{From: c.Addr}
-		if req := c.Req.(peer.Request); req.Status != nil {
-			h.told = append(h.told, *req.Status)
-			resp.Status = &peer.StatusAck{About: peer.About{StateOK: true}}
-			for _, o := range req.Status.Owns {
-				resp.Status.Quiet = append(resp.Status.Quiet, o.Share)
-			}
-		}
-		result(200, resp)
-		return
+		h.callPeer(c)
 	case ToCloud:
-		switch c.Req.(type) {
-		case GetTypes:
-			result(200, &wire.MachineTypes{Types: []wire.MachineType{{Name: "m", CPUs: 4, MemGB: 8, FetchGBPerS: 1, Price: 1, SpotPrice: 0.5, BootS: 5, Zones: []string{"a", "b"}}}})
-		case ReturnMachines:
-			result(200, nil)
-		case ListMachines:
-			result(200, &wire.MachineList{Machines: slices.Clone(h.listed)})
-		default:
-			result(503, NoCapacity("no capacity"))
-		}
+		h.callCloud(c)
+	default:
+		h.callState(c)
+	}
+}
+
+// result ends a call.
+func (h *harness) result(c Call, status int, body any) {
+	h.step(Result{ID: c.ID, Status: status, Body: body})
+}
+
+func (h *harness) callPeer(c Call) {
+	if h.peersDown {
 		return
 	}
+	resp := &peer.Response{From: c.Addr}
+	if req := c.Req.(peer.Request); req.Status != nil {
+		h.told = append(h.told, *req.Status)
+		resp.Status = &peer.StatusAck{About: peer.About{StateOK: true}}
+		for _, o := range req.Status.Owns {
+			resp.Status.Quiet = append(resp.Status.Quiet, o.Share)
+		}
+	}
+	h.result(c, 200, resp)
+}
+
+func (h *harness) callCloud(c Call) {
+	switch c.Req.(type) {
+	case GetTypes:
+		h.result(c, 200, &wire.MachineTypes{Types: []wire.MachineType{{Name: "m", CPUs: 4, MemGB: 8, FetchGBPerS: 1, Price: 1, SpotPrice: 0.5, BootS: 5, Zones: []string{"a", "b"}}}})
+	case ReturnMachines:
+		h.result(c, 200, nil)
+	case ListMachines:
+		h.result(c, 200, &wire.MachineList{Machines: slices.Clone(h.listed)})
+	default:
+		h.result(c, 503, NoCapacity("no capacity"))
+	}
+}
+
+func (h *harness) callState(c Call) {
 	if _, isWatch := c.Req.(Watch); isWatch {
 		h.watches = append(h.watches, c)
 		return
 	}
 	if h.stateDown {
 		if h.refused {
-			result(503, nil)
+			h.result(c, 503, nil)
 			return
 		}
 		h.held = append(h.held, c)
@@ -156,15 +170,15 @@
 	switch r := c.Req.(type) {
 	case wire.NewLease:
 		h.rev++
-		result(200, &wire.Lease{Lease: h.rev})
+		h.result(c, 200, &wire.Lease{Lease: h.rev})
 	case RenewLease:
-		result(200, nil)
+		h.result(c, 200, nil)
 	case GetKey:
 		h.reads++
 		if kv, ok := h.keys[r.Key]; ok {
-			result(200, &kv)
+			h.result(c, 200, &kv)
 		} else {
-			result(404, nil)
+			h.result(c, 404, nil)
 		}
 	case ListKeys:
 		list := &wire.KeyList{Revision: h.rev}
@@ -173,7 +187,7 @@
 				list.Items = append(list.Items, h.keys[k])
 			}
 		}
-		result(200, list)
+		h.result(c, 200, list)
 	case wire.Txn:
 		if h.late != "" && slices.ContainsFunc(r.Then, func(c wire.Change) bool { return strings.HasPrefix(c.Put+c.Delete, h.late) }) {
 			h.lateOut = append(h.lateOut, c)
@@ -181,7 +195,7 @@
 		}
 		if h.tooLarge != "" && slices.ContainsFunc(r.Then, func(c wire.Change) bool { return strings.HasPrefix(c.Put, h.tooLarge) }) {
 			h.refusals++
-			result(400, nil)
+			h.result(c, 400, nil)
 			return
 		}
 		status, body := h.txn(r)
@@ -192,7 +206,7 @@
 			h.lost = append(h.lost, c) // applied, but the answer is lost
 			return
 		}
-		result(status, body)
+		h.result(c, status, body)
 	}
 }
 
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -95,34 +95,40 @@
 				t.Parallel()
 				p := r.plan
 				p.Teams, p.Seed, p.Length, p.Rest = r.teams, uint64(seed)+1, 90*sec, 300*sec
-				s := New(p)
-				if os.Getenv("GARNETHITCH_TRACE") != "" {
-					s.Trace = func(line string) { t.Log(line) }
-				}
-				s.Run()
-				for _, b := range s.Broken {
-					t.Error(b)
-				}
-				if p.Fleet && (s.ZoneCuts < 3 || p.Machines > 100 && (s.Died == 0 || s.Hung == 0)) {
-					t.Errorf("too little happened: %d zone cuts, %d dead, %d hung, %d frozen", s.ZoneCuts, s.Died, s.Hung, s.Frozen)
-				}
-				if p.Slow > 0 && s.Waited < 3*p.Slow {
-					t.Errorf("nothing had to wait: %v s at most", s.Waited.Seconds())
-				}
-				if p.Pipelines > 0 && !p.Meet && !p.Faults && s.Chained == 0 {
-					t.Error("no task started after others")
-				}
-				if s.Wasted > 0 {
-					t.Errorf("%d machines returned with work on them, though nothing was wrong with them", s.Wasted)
-				}
-				if s.Started == 0 || s.Finished == 0 {
-					t.Errorf("nothing ran: %d started, %d finished", s.Started, s.Finished)
-				}
+				playByTheRules(t, p)
 			})
 		}
 	}
 }
 
+// playByTheRules plays a run, and checks that no rule was broken and that it was what its
+// plan says.
+func playByTheRules(t *testing.T, p Plan) {
+	s := New(p)
+	if os.Getenv("GARNETHITCH_TRACE") != "" {
+		s.Trace = func(line string) { t.Log(line) }
+	}
+	s.Run()
+	for _, b := range s.Broken {
+		t.Error(b)
+	}
+	if p.Fleet && (s.ZoneCuts < 3 || p.Machines > 100 && (s.Died == 0 || s.Hung == 0)) {
+		t.Errorf("too little happened: %d zone cuts, %d dead, %d hung, %d frozen", s.ZoneCuts, s.Died, s.Hung, s.Frozen)
+	}
+	if p.Slow > 0 && s.Waited < 3*p.Slow {
+		t.Errorf("nothing had to wait: %v s at most", s.Waited.Seconds())
+	}
+	if p.Pipelines > 0 && !p.Meet && !p.Faults && s.Chained == 0 {
+		t.Error("no task started after others")
+	}
+	if s.Wasted > 0 {
+		t.Errorf("%d machines returned with work on them, though nothing was wrong with them", s.Wasted)
+	}
+	if s.Started == 0 || s.Finished == 0 {
+		t.Errorf("nothing ran: %d started, %d finished", s.Started, s.Finished)
+	}
+}
+
 // TestWaves cancels one of many jobs that need each other: as many as the settings allow
 // for stand as cancelled within the time of a cancellation, whatever happens to their
 // owner, and the rules hold meanwhile.
