--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,7 +75,7 @@
 	own      ownership
 	contact  workerContact
 	jobs     jobTable
-	wave     cancellationWave
+	cascade  cancellationCascade
 	fleet    fleet
 	peers    map[string]*peerView
 	mach     map[string]*machine
@@ -146,7 +146,7 @@
 	c.orders.most = max(cfg.Asks, 8)
 	c.own.init(cfg.Shares)
 	c.jobs.init(c.cfg.FinalJobs)
-	c.wave.init()
+	c.cascade.init()
 	c.fleet.init(cfg)
 	c.runs.init()
 	for _, p := range cfg.Peers {
--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -21,22 +21,22 @@
 // owner asked, so that a late copy, a second writer or a former owner changes nothing.
 
 const (
-	// maxWaveTransactions bounds the transactions of dependents under way: one waits
+	// maxCascadeTransactions bounds the transactions of dependents under way: one waits
 	// for the write limit while another waits for its answer.
-	maxWaveTransactions = 2
-	// waveTimeout is how long such a transaction may wait for both.
-	waveTimeout = 3 * micros.Second
-	// waveWritesPerSecondPart is the part of a second's writes that one transaction
+	maxCascadeTransactions = 2
+	// cascadeTimeout is how long such a transaction may wait for both.
+	cascadeTimeout = 3 * micros.Second
+	// cascadeWritesPart is the part of a second's writes that one transaction
 	// takes at most: what is more urgent waits no longer behind it.
-	waveWritesPerSecondPart = 4
+	cascadeWritesPart = 4
 	// helpFrom is how long an owner would need alone before it asks for help.
 	helpFrom = 3 * micros.Second
 	// maxAskedToRecord bounds the jobs named in one message; it is repeated each second.
 	maxAskedToRecord = 200
 )
 
-// cancellationWave is the work on open jobs that need a cancelled one.
-type cancellationWave struct {
+// cancellationCascade is the work on open jobs that need a cancelled one.
+type cancellationCascade struct {
 	// jobs are all of them that this node knows of, whoever owns them.
 	jobs map[string]*job
 	// asked are those that their owners want recorded here, with the mark of the claim
@@ -51,7 +51,7 @@
 	generation int
 }
 
-func (w *cancellationWave) init() {
+func (w *cancellationCascade) init() {
 	w.jobs = map[string]*job{}
 	w.asked = map[string]uint64{}
 	w.recording = map[string]bool{}
@@ -59,17 +59,17 @@
 
 // forgetTransactions lets those under way go: their conditions name a claim that is
 // over.
-func (w *cancellationWave) forgetTransactions() {
+func (w *cancellationCascade) forgetTransactions() {
 	w.generation++
 	w.underWay, w.retryAt = 0, 0
 	clear(w.recording)
 }
 
 // add takes a job whose dependency is cancelled.
-func (w *cancellationWave) add(j *job) { w.jobs[j.id] = j }
+func (w *cancellationCascade) add(j *job) { w.jobs[j.id] = j }
 
 // remove forgets a job that is over.
-func (w *cancellationWave) remove(id string) {
+func (w *cancellationCascade) remove(id string) {
 	delete(w.jobs, id)
 	delete(w.asked, id)
 }
@@ -102,13 +102,13 @@
 
 // recordDependents records the next dependents, as far as the limits allow.
 func (c *Core) recordDependents() {
-	w := &c.wave
+	w := &c.cascade
 	if len(w.jobs) == 0 || !c.canAnswer() || c.now < w.retryAt {
 		return
 	}
 	todo := c.dependentsToRecord()
-	most := min(c.cfg.TxnOps, int(c.stateq.writes.rate)/waveWritesPerSecondPart+1)
-	for len(todo) > 0 && w.underWay < maxWaveTransactions {
+	most := min(c.cfg.TxnOps, int(c.stateq.writes.rate)/cascadeWritesPart+1)
+	for len(todo) > 0 && w.underWay < maxCascadeTransactions {
 		first := todo[0]
 		mark := c.claimFor(first)
 		n := 1
@@ -125,7 +125,7 @@
 	if c.Owns(j.id) {
 		return c.own.shares[j.share].mark
 	}
-	return c.wave.asked[j.id]
+	return c.cascade.asked[j.id]
 }
 
 // dependentsToRecord lists the dependents that this node is to record: its part of its
@@ -133,7 +133,7 @@
 // order, so that it meets the controllers that were asked for it only at the end.
 func (c *Core) dependentsToRecord() []*job {
 	var own, asked, rest []*job
-	w := &c.wave
+	w := &c.cascade
 	for _, id := range sortedKeys(w.jobs) {
 		j := w.jobs[id]
 		switch {
@@ -166,7 +166,7 @@
 		txn.If = append(txn.If, wire.Condition{Key: wire.JobKey(j.id), Version: j.mark})
 		txn.Then = append(txn.Then, wire.Change{Put: wire.JobKey(j.id), Value: value})
 	}
-	w := &c.wave
+	w := &c.cascade
 	w.underWay++
 	jobs = slices.Clone(jobs)
 	runs := make([]*run, len(jobs))
@@ -178,19 +178,19 @@
 		}
 	}
 	generation := w.generation
-	c.askState(prioDependents, txn, waveTimeout, func(res Result) {
+	c.askState(prioDependents, txn, cascadeTimeout, func(res Result) {
 		current := w.generation == generation
 		if current {
 			w.underWay--
 		}
-		if current && res.Status != 200 && res.Status != 409 {
+		failed := failedKeys(res)
+		if current && res.Status != 200 && len(failed) == 0 {
 			w.retryAt = c.now + c.jitter(400*micros.Millisecond)
 		}
 		if current && res.Status == 400 {
 			c.log(Error, "ends of dependents refused by the state service", "first", jobs[0].id, "changes", txn.Writes())
 			w.retryAt = c.now + c.jitter(refusedPause)
 		}
-		failed := failedKeys(res)
 		for i, j := range jobs {
 			if current {
 				delete(w.recording, j.id)
@@ -219,7 +219,7 @@
 // dependentNotRecorded deals with a dependent whose transaction did not succeed, or
 // may not have: jobChanged and claimLost say which conditions were not met.
 func (c *Core) dependentNotRecorded(j *job, res Result, jobChanged, claimLost bool) {
-	w := &c.wave
+	w := &c.cascade
 	r := j.run
 	if r == nil {
 		if jobChanged || claimLost {
@@ -243,17 +243,17 @@
 // askedOf are the dependents that another controller is asked to record. None where
 // this one is done with all of them soon.
 func (c *Core) askedOf(p *peerView) (ids []string) {
-	if len(c.wave.jobs) == 0 || !c.canAnswer() {
+	if len(c.cascade.jobs) == 0 || !c.canAnswer() {
 		return nil
 	}
 	own := 0
-	for _, id := range sortedKeys(c.wave.jobs) {
-		j := c.wave.jobs[id]
+	for _, id := range sortedKeys(c.cascade.jobs) {
+		j := c.cascade.jobs[id]
 		if !c.Owns(j.id) {
 			continue
 		}
 		own++
-		if !c.wave.recording[id] && len(ids) < maxAskedToRecord && c.recorderOf(id) == p.label {
+		if !c.cascade.recording[id] && len(ids) < maxAskedToRecord && c.recorderOf(id) == p.label {
 			ids = append(ids, id)
 		}
 	}
@@ -267,13 +267,13 @@
 // that it owns. What this node does not know to need a cancelled job is left alone.
 func (c *Core) askedToRecord(ids []string, owns []peer.Owned) {
 	for _, id := range ids {
-		j := c.wave.jobs[id]
+		j := c.cascade.jobs[id]
 		if j == nil || j.run != nil {
 			continue
 		}
 		for _, o := range owns {
 			if o.Share == j.share {
-				c.wave.asked[id] = o.Mark
+				c.cascade.asked[id] = o.Mark
 			}
 		}
 	}
--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -11,9 +11,9 @@
 	"garnethitch/internal/wire"
 )
 
-// wave is a harness of three controllers that writes as much as it may, with a job and
+// cascade is a harness of three controllers that writes as much as it may, with a job and
 // n others that need it; those of before are stored as another node would store them.
-func wave(t *testing.T, n int, writeRPS float64) *harness {
+func cascade(t *testing.T, n int, writeRPS float64) *harness {
 	h := meet(t, func(c *Config) {
 		c.Peers = []string{"n-1", "n-2"}
 		c.WriteRPS = writeRPS
@@ -45,7 +45,7 @@
 // the others to take their parts, and does those by itself if they do not.
 func TestDependentsAreRecorded(t *testing.T) {
 	const n = 90
-	h := wave(t, n, 30) // some 10 a second of its own
+	h := cascade(t, n, 30) // some 10 a second of its own
 	h.told, h.done = nil, nil
 	h.recordEnd("job-000100", wire.StateCancelled, 0)
 	h.run(2 * sec)
@@ -79,7 +79,7 @@
 
 // A short list is no matter for others.
 func TestFewDependentsAreNotAskedFor(t *testing.T) {
-	h := wave(t, 6, 30)
+	h := cascade(t, 6, 30)
 	h.told = nil
 	h.recordEnd("job-000100", wire.StateCancelled, 0)
 	h.run(3 * sec)
@@ -158,7 +158,7 @@
 		}, n},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			h := wave(t, n, 1000)
+			h := cascade(t, n, 1000)
 			// Another controller owns the share.
 			h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99})
 			h.done = nil
@@ -210,7 +210,7 @@
 // end, and the lease is renewed.
 func TestDependentsWaitForTheUrgent(t *testing.T) {
 	const n = 200
-	h := wave(t, n, 30)
+	h := cascade(t, n, 30)
 	h.recordEnd("job-000100", wire.StateCancelled, 0)
 	h.run(sec)
 	for i := range 5 {
@@ -311,7 +311,7 @@
 // there are requests to spare, and answered 503 at once when there are none: never by
 // an older answer, and never at the cost of the records.
 func TestQuestionsAboutDependents(t *testing.T) {
-	h := wave(t, 3, 1000)
+	h := cascade(t, 3, 1000)
 	h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99}) // which records nothing
 	h.recordEnd("job-000100", wire.StateCancelled, 0)
 	h.watchBlocked = wire.PrefixJob
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -147,7 +147,7 @@
 		return
 	}
 	delete(c.jobs.open, id)
-	c.wave.remove(id)
+	c.cascade.remove(id)
 	c.unlinkDependencies(j)
 	if f.state == wire.StateCancelled {
 		c.spreadCancelled(id)
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -234,7 +234,7 @@
 	c.log(Info, "share given up", "share", s.id)
 	s.active, s.handing = false, false
 	s.versions, s.verMarks = nil, nil
-	c.wave.forgetTransactions()
+	c.cascade.forgetTransactions()
 	for _, m := range s.machines {
 		c.setView(m, nil)
 	}
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		d.dependencyCancelled = true
-		c.wave.add(d)
+		c.cascade.add(d)
 		if d.run != nil && d.run.want == "" {
 			d.run.want = wire.StateCancelled // recordDependents records it
 			c.own.shares[d.share].queueStale = true
--- a/internal/standin/wave.go
+++ b/internal/standin/cascade.go
@@ -11,25 +11,25 @@
 // A cancellation that reaches many jobs: a plan of its own, since its users, and the
 // limit on writes that they run into, would drown whatever else a run is about.
 
-// WaveShape is how the jobs need each other.
-type WaveShape int
+// CascadeShape is how the jobs need each other.
+type CascadeShape int
 
-// Shapes of a wave.
+// Shapes of a cascade.
 const (
 	// Wide: all need the same job.
-	Wide WaveShape = iota + 1
+	Wide CascadeShape = iota + 1
 	// Deep: each needs the one before it.
 	Deep
 	// Diamonds: pairs that need the one before them both, and one that needs the pair.
 	Diamonds
 )
 
-// WaveTrouble is what happens to the owner of most of the jobs at the cancellation.
-type WaveTrouble int
+// CascadeTrouble is what happens to the owner of most of the jobs at the cancellation.
+type CascadeTrouble int
 
-// Troubles of a wave.
+// Troubles of a cascade.
 const (
-	NoTrouble WaveTrouble = iota
+	NoTrouble CascadeTrouble = iota
 	// OwnerEnds: it is away for longer than its lease.
 	OwnerEnds
 	// OwnerReturns: it ends and is back at once.
@@ -42,13 +42,13 @@
 	LimitsLowered
 )
 
-// Wave plans one cancellation.
-type Wave struct {
-	Shape      WaveShape
+// Cascade plans one cancellation.
+type Cascade struct {
+	Shape      CascadeShape
 	Dependents int
 	// Middle cancels a job half-way down instead of the first.
 	Middle  bool
-	Trouble WaveTrouble
+	Trouble CascadeTrouble
 	// Limited lowers the limits before the jobs are submitted.
 	Limited bool
 	// Roll is the version that a roll begins with, the cancellation coming while it lasts.
@@ -56,7 +56,7 @@
 }
 
 // away is how many controllers the trouble takes away for longer than a lease.
-func (w Wave) away() int {
+func (w Cascade) away() int {
 	switch w.Trouble {
 	case OwnerEnds, OwnerCutOff, OwnerRefused:
 		return 1
@@ -64,8 +64,8 @@
 	return 0
 }
 
-// newWave submits the jobs, and cancels one of them once all are accepted.
-func (s *Sim) newWave(w Wave) {
+// newCascade submits the jobs, and cancels one of them once all are accepted.
+func (s *Sim) newCascade(w Cascade) {
 	s.State.writes = newWriteLimit(s.cfg.WriteRPS)
 	if w.Limited {
 		s.lowerLimits()
@@ -105,27 +105,27 @@
 	if w.Middle {
 		target = members[len(members)/2]
 	}
-	s.after(20*sec, func() { s.startWave(w, members, target) })
+	s.after(20*sec, func() { s.startCascade(w, members, target) })
 }
 
-// startWave cancels a job once all are accepted, and brings the trouble about.
-func (s *Sim) startWave(w Wave, members []*user, target *user) {
+// startCascade cancels a job once all are accepted, and brings the trouble about.
+func (s *Sim) startCascade(w Cascade, members []*user, target *user) {
 	for _, u := range members {
 		if !u.accepted {
-			s.after(200*ms, func() { s.startWave(w, members, target) })
+			s.after(200*ms, func() { s.startCascade(w, members, target) })
 			return
 		}
 	}
 	s.trace("all accepted, %s is cancelled", target.sub.ID)
 	owner := s.ownerOf(members[len(members)-1])
-	s.waveAt = s.now
+	s.cascadeAt = s.now
 	target.withdraw()
 	s.after(s.span(0, 300*ms), func() { s.bringAbout(w.Trouble, owner) })
-	s.checkWave(members, target)
+	s.checkCascade(members, target)
 }
 
-// bringAbout lets a wave's trouble happen to a controller.
-func (s *Sim) bringAbout(trouble WaveTrouble, n *Node) {
+// bringAbout lets a cascade's trouble happen to a controller.
+func (s *Sim) bringAbout(trouble CascadeTrouble, n *Node) {
 	switch trouble {
 	case OwnerEnds:
 		n.crash(15 * sec)
@@ -161,11 +161,11 @@
 	return s.Nodes[0]
 }
 
-// checkWave: when the time of the cancellation is over, all that need the job stand as
+// checkCascade: when the time of the cancellation is over, all that need the job stand as
 // cancelled, and nothing else does.
-func (s *Sim) checkWave(members []*user, target *user) {
+func (s *Sim) checkCascade(members []*user, target *user) {
 	if target.cancelTold == 0 {
-		s.after(100*ms, func() { s.checkWave(members, target) })
+		s.after(100*ms, func() { s.checkCascade(members, target) })
 		return
 	}
 	s.after(target.cancelTold+s.cfg.Cancel-s.now, func() {
@@ -180,7 +180,7 @@
 				s.broken("went_back: %s is cancelled, nothing that it needs is", u.sub.ID)
 			}
 			if cancelled {
-				s.WaveCancelled++
+				s.CascadeCancelled++
 			}
 		}
 		if late > 0 {
@@ -219,8 +219,8 @@
 	return true
 }
 
-// bound is how many dependents the settings allow for a wave.
-func (s *Sim) bound(w Wave) int {
+// bound is how many dependents the settings allow for a cascade.
+func (s *Sim) bound(w Cascade) int {
 	cfg := s.config(true)
 	cfg.Peers = make([]string, s.plan.Nodes-1)
 	return core.CancellableDependents(cfg, w.away(), 0)
--- a/internal/standin/roll.go
+++ b/internal/standin/roll.go
@@ -38,9 +38,9 @@
 // rollEvery is how long after one node the next is replaced.
 const rollEvery = 7 * sec
 
-// rollBegins is when the first node is replaced; in a wave just before its cancellation.
+// rollBegins is when the first node is replaced; in a cascade just before its cancellation.
 func (s *Sim) rollBegins() micros.Micros {
-	if s.plan.Wave != nil {
+	if s.plan.Cascade != nil {
 		return 24 * sec
 	}
 	return 10 * sec
@@ -84,7 +84,7 @@
 // knows of the limits to come.
 func (s *Sim) config(limitsToCome bool) core.Config {
 	cfg := s.cfg
-	if (s.plan.Roll != Current || s.plan.Wave != nil) && limitsToCome {
+	if (s.plan.Roll != Current || s.plan.Cascade != nil) && limitsToCome {
 		cfg.ValueBytes, cfg.TxnOps, cfg.WriteRPS = lowerValue, lowerOps, lowerWrite
 	}
 	return cfg
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -48,8 +48,8 @@
 	// Roll begins with nodes of an older version; see roll.go.
 	Pipelines int
 	Roll      Release
-	// Wave cancels a job that many others need; see wave.go.
-	Wave *Wave
+	// Cascade cancels a job that many others need; see cascade.go.
+	Cascade *Cascade
 	// Length is how long faults and submissions go on; after that all is well
 	// and every job must come to its end within Rest.
 	Length, Rest micros.Micros
@@ -81,10 +81,10 @@
 	Restarts          int
 	// Chained counts starts of tasks whose jobs needed others.
 	Chained int
-	// WaveCancelled counts the jobs of a wave that stand as cancelled at its end.
-	WaveCancelled int
-	// waveAt is when its cancellation is asked for.
-	waveAt micros.Micros
+	// CascadeCancelled counts the jobs of a cascade that stand as cancelled at its end.
+	CascadeCancelled int
+	// cascadeAt is when its cancellation is asked for.
+	cascadeAt micros.Micros
 	// Copies counts late copies of reports, Unreachable machines that were out of reach.
 	Copies, Unreachable int
 	// ZoneCuts, Died, Hung and Frozen count what hits many at a time.
@@ -182,8 +182,8 @@
 		s.after(at, u.submit)
 	}
 	s.newPipelines()
-	if p.Wave != nil {
-		s.newWave(*p.Wave)
+	if p.Cascade != nil {
+		s.newCascade(*p.Cascade)
 	}
 	s.markLargest()
 	if p.Roll != Current {
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -129,39 +129,39 @@
 	}
 }
 
-// TestWaves cancels one of many jobs that need each other: as many as the settings allow
+// TestCascades cancels one of many jobs that need each other: as many as the settings allow
 // for stand as cancelled within the time of a cancellation, whatever happens to their
 // owner, and the rules hold meanwhile.
-func TestWaves(t *testing.T) {
+func TestCascades(t *testing.T) {
 	for _, tc := range []struct {
-		name  string
-		teams []core.Team
-		wave  Wave
+		name    string
+		teams   []core.Team
+		cascade Cascade
 	}{
-		{"wide", fourTeam, Wave{Shape: Wide, Dependents: 1000}},
-		{"wide, jobs parted", oneTeam, Wave{Shape: Wide, Dependents: 1000}},
-		{"wide, limits lowered before", fourTeam, Wave{Shape: Wide, Dependents: 1000, Limited: true}},
-		{"wide, limits lowered meanwhile", fourTeam, Wave{Shape: Wide, Dependents: 1000, Trouble: LimitsLowered}},
-		{"wide, the owner ends", fourTeam, Wave{Shape: Wide, Dependents: 400, Trouble: OwnerEnds}},
-		{"wide, the owner returns at once", fourTeam, Wave{Shape: Wide, Dependents: 1000, Trouble: OwnerReturns}},
-		{"wide, the owner is cut off", fourTeam, Wave{Shape: Wide, Dependents: 400, Trouble: OwnerCutOff}},
-		{"wide, the owner is refused", fourTeam, Wave{Shape: Wide, Dependents: 400, Trouble: OwnerRefused, Limited: true}},
-		{"deep", fourTeam, Wave{Shape: Deep, Dependents: 200}},
-		{"deep, jobs parted, from the middle", oneTeam, Wave{Shape: Deep, Dependents: 200, Middle: true}},
-		{"deep, the owner ends", fourTeam, Wave{Shape: Deep, Dependents: 200, Trouble: OwnerEnds}},
-		{"deep, the owner is refused", oneTeam, Wave{Shape: Deep, Dependents: 200, Trouble: OwnerRefused}},
-		{"diamonds, from the middle", fourTeam, Wave{Shape: Diamonds, Dependents: 300, Middle: true}},
-		{"diamonds, the owner returns at once", oneTeam, Wave{Shape: Diamonds, Dependents: 300, Trouble: OwnerReturns, Limited: true}},
-		{"wide, during a roll from the last landing", fourTeam, Wave{Shape: Wide, Dependents: 300, Roll: LastLanded}},
-		{"deep, during a roll from the last landing", oneTeam, Wave{Shape: Deep, Dependents: 200, Roll: LastLanded}},
-		{"diamonds, the owner is cut off", fourTeam, Wave{Shape: Diamonds, Dependents: 300, Trouble: OwnerCutOff}},
+		{"wide", fourTeam, Cascade{Shape: Wide, Dependents: 1000}},
+		{"wide, jobs parted", oneTeam, Cascade{Shape: Wide, Dependents: 1000}},
+		{"wide, limits lowered before", fourTeam, Cascade{Shape: Wide, Dependents: 1000, Limited: true}},
+		{"wide, limits lowered meanwhile", fourTeam, Cascade{Shape: Wide, Dependents: 1000, Trouble: LimitsLowered}},
+		{"wide, the owner ends", fourTeam, Cascade{Shape: Wide, Dependents: 400, Trouble: OwnerEnds}},
+		{"wide, the owner returns at once", fourTeam, Cascade{Shape: Wide, Dependents: 1000, Trouble: OwnerReturns}},
+		{"wide, the owner is cut off", fourTeam, Cascade{Shape: Wide, Dependents: 400, Trouble: OwnerCutOff}},
+		{"wide, the owner is refused", fourTeam, Cascade{Shape: Wide, Dependents: 400, Trouble: OwnerRefused, Limited: true}},
+		{"deep", fourTeam, Cascade{Shape: Deep, Dependents: 200}},
+		{"deep, jobs parted, from the middle", oneTeam, Cascade{Shape: Deep, Dependents: 200, Middle: true}},
+		{"deep, the owner ends", fourTeam, Cascade{Shape: Deep, Dependents: 200, Trouble: OwnerEnds}},
+		{"deep, the owner is refused", oneTeam, Cascade{Shape: Deep, Dependents: 200, Trouble: OwnerRefused}},
+		{"diamonds, from the middle", fourTeam, Cascade{Shape: Diamonds, Dependents: 300, Middle: true}},
+		{"diamonds, the owner returns at once", oneTeam, Cascade{Shape: Diamonds, Dependents: 300, Trouble: OwnerReturns, Limited: true}},
+		{"wide, during a roll from the last landing", fourTeam, Cascade{Shape: Wide, Dependents: 300, Roll: LastLanded}},
+		{"deep, during a roll from the last landing", oneTeam, Cascade{Shape: Deep, Dependents: 200, Roll: LastLanded}},
+		{"diamonds, the owner is cut off", fourTeam, Cascade{Shape: Diamonds, Dependents: 300, Trouble: OwnerCutOff}},
 	} {
 		for seed := range seeds(1) {
 			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) {
 				t.Parallel()
-				s := New(Plan{Seed: uint64(seed) + 1, Nodes: 3, Machines: 4, Wave: &tc.wave, Roll: tc.wave.Roll, Teams: tc.teams, Length: 90 * sec, Rest: 300 * sec})
-				if most := s.bound(tc.wave); tc.wave.Dependents > most {
-					t.Fatalf("%d dependents, %d fit into the time", tc.wave.Dependents, most)
+				s := New(Plan{Seed: uint64(seed) + 1, Nodes: 3, Machines: 4, Cascade: &tc.cascade, Roll: tc.cascade.Roll, Teams: tc.teams, Length: 90 * sec, Rest: 300 * sec})
+				if most := s.bound(tc.cascade); tc.cascade.Dependents > most {
+					t.Fatalf("%d dependents, %d fit into the time", tc.cascade.Dependents, most)
 				}
 				if os.Getenv("GARNETHITCH_TRACE") != "" {
 					s.Trace = func(line string) { t.Log(line) }
@@ -170,8 +170,8 @@
 				for _, b := range s.Broken {
 					t.Error(b)
 				}
-				if least := tc.wave.Dependents / 3; s.WaveCancelled < least {
-					t.Errorf("%d jobs were cancelled, want %d at least", s.WaveCancelled, least)
+				if least := tc.cascade.Dependents / 3; s.CascadeCancelled < least {
+					t.Errorf("%d jobs were cancelled, want %d at least", s.CascadeCancelled, least)
 				}
 			})
 		}
