--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -196,6 +196,7 @@
 		c.follow(&c.own.ctl)
 		c.follow(&c.own.job)
 	}
+	c.recordDependents()
 	c.wake = min(c.wake, c.nextMaintenance())
 	c.runDeferred()
 	c.place()
--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -12,7 +12,7 @@
 // others. Such a dependent has no tasks, so that its record is all there is to write,
 // but there may be more of them than one controller's part of the state service's
 // write limit takes within the time that a cancellation has. Their owner therefore
-// records several in a transaction, behind all that is more urgent, and asks the other
+// records several in a transaction, behind acceptances and other ends, and asks the other
 // controllers to record some of them too.
 //
 // Another controller writes only what the owner asked it to: the owner then knows of
@@ -29,6 +29,10 @@
 	// cascadeWritesPart is the part of a second's writes that one transaction
 	// takes at most: what is more urgent waits no longer behind it.
 	cascadeWritesPart = 4
+	// dependentsPart is the part of this node's writes that dependents take at most:
+	// they come before the records of machines, which need the rest. (Behind them a single
+	// dependent waited for 80 s while a fleet was returned.)
+	dependentsPart = 0.75
 	// helpFrom is how long an owner would need alone before it asks for help.
 	helpFrom = 3 * micros.Second
 	// maxAskedToRecord bounds the jobs named in one message; it is repeated each second.
@@ -46,6 +50,7 @@
 	recording map[string]bool
 	underWay  int
 	retryAt   micros.Micros
+	nextAt    micros.Micros // when the writes of before have taken their part
 	// generation rises when this node lets a share go: transactions of before are
 	// waited for no more.
 	generation int
@@ -89,7 +94,7 @@
 	if available <= 0 || away >= nodes {
 		return 0
 	}
-	rate := cfg.WriteRPS * usedPart * float64(nodes-away) / float64(nodes)
+	rate := cfg.WriteRPS * usedPart * dependentsPart * float64(nodes-away) / float64(nodes)
 	return int(rate * available.Seconds())
 }
 
@@ -103,21 +108,28 @@
 // recordDependents records the next dependents, as far as the limits allow.
 func (c *Core) recordDependents() {
 	w := &c.cascade
-	if len(w.jobs) == 0 || !c.canAnswer() || c.now < w.retryAt {
+	if len(w.jobs) == 0 || w.underWay >= maxCascadeTransactions || !c.canAnswer() {
+		return
+	}
+	if at := max(w.nextAt, w.retryAt); c.now < at {
+		c.wakeIn(at - c.now)
 		return
 	}
 	todo := c.dependentsToRecord()
+	if len(todo) == 0 {
+		w.nextAt = c.now + busyInterval
+		return
+	}
+	first := todo[0]
+	mark := c.claimFor(first)
 	most := min(c.cfg.TxnOps, int(c.stateq.writes.rate)/cascadeWritesPart+1)
-	for len(todo) > 0 && w.underWay < maxCascadeTransactions {
-		first := todo[0]
-		mark := c.claimFor(first)
-		n := 1
-		for n < len(todo) && n < most && todo[n].share == first.share && c.claimFor(todo[n]) == mark {
-			n++
-		}
-		c.recordCancelled(first.share, mark, todo[:n])
-		todo = todo[n:]
+	n := 1
+	for n < len(todo) && n < most && todo[n].share == first.share && c.claimFor(todo[n]) == mark {
+		n++
 	}
+	// What was missed since the last one, up to some transactions' worth, is made up for.
+	w.nextAt = max(w.nextAt, c.now-micros.Second/2) + micros.FromSeconds(float64(n)/(c.stateq.writes.rate*dependentsPart))
+	c.recordCancelled(first.share, mark, todo[:n])
 }
 
 // claimFor is the mark of the claim under which this node records a dependent.
@@ -257,7 +269,7 @@
 			ids = append(ids, id)
 		}
 	}
-	if float64(own) < c.stateq.writes.rate*helpFrom.Seconds() {
+	if float64(own) < c.stateq.writes.rate*dependentsPart*helpFrom.Seconds() {
 		return nil
 	}
 	return ids
@@ -277,5 +289,4 @@
 			}
 		}
 	}
-	c.recordDependents()
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -337,7 +337,6 @@
 		return
 	}
 	c.readUnknown()
-	c.recordDependents()
 	var due []*job
 	held := false
 	for _, j := range c.jobs.open {
--- a/internal/core/statequeue.go
+++ b/internal/core/statequeue.go
@@ -10,8 +10,8 @@
 	prioLease = iota
 	prioAccept
 	prioEnd
-	prioFleet
 	prioDependents
+	prioFleet
 	prioVersion
 	prioCount
 )
