--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -333,27 +333,32 @@
 // for the other to end (found by a hunt: one dependent waited for 80 s behind a fleet
 // that was returned).
 func TestDependentsAndMachineRecords(t *testing.T) {
-	const n = 60
-	h := cascade(t, n, 30)
-	machines := 0
-	crowd := func() {
-		for len(h.c.stateq.queues[prioFleet]) < 20 {
-			h.c.askState(prioFleet, wire.Txn{Then: []wire.Change{{Put: "ctl/fleet/0/x", Value: encoded(t, wire.BatchRecord{})}}}, sec, func(r Result) {
-				if r.Status == 200 {
-					machines++
+	for _, tc := range []struct {
+		name       string
+		dependents int
+		all        bool // they are recorded within the 10 s that are played
+	}{{"few", 60, true}, {"more than there is time for", 300, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := cascade(t, tc.dependents, 30)
+			machines := 0
+			h.recordEnd("job-000100", wire.StateCancelled, 0)
+			for range 100 {
+				for len(h.c.stateq.queues[prioFleet]) < 20 {
+					txn := wire.Txn{Then: []wire.Change{{Put: wire.BatchKey(0, "x"), Value: encoded(t, wire.BatchRecord{})}}}
+					h.c.askState(prioFleet, txn, sec, func(r Result) {
+						if r.Status == 200 {
+							machines++
+						}
+					})
 				}
-			})
-		}
-	}
-	h.recordEnd("job-000100", wire.StateCancelled, 0)
-	for range 100 {
-		crowd()
-		h.run(100 * ms)
-	}
-	if got := h.recorded(n); got != n {
-		t.Errorf("%d of %d dependents recorded in 10 s beside records of machines", got, n)
-	}
-	if machines < 10 {
-		t.Errorf("%d records of machines were written in 10 s beside dependents", machines)
+				h.run(100 * ms)
+			}
+			if got := h.recorded(tc.dependents); got == 0 || (got == tc.dependents) != tc.all {
+				t.Errorf("%d of %d dependents recorded in 10 s beside records of machines", got, tc.dependents)
+			}
+			if machines < 10 {
+				t.Errorf("%d records of machines were written in 10 s beside dependents", machines)
+			}
+		})
 	}
 }
