--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 
 	"garnethitch/internal/micros"
 	"garnethitch/internal/wire"
@@ -78,6 +79,7 @@
 	cascade  cancellationCascade
 	fleet    fleet
 	peers    map[string]*peerView
+	nodes    []string // the labels of all controllers, in order
 	mach     map[string]*machine
 	batches  map[string]*batch
 	batchSeq uint64
@@ -129,6 +131,7 @@
 		rng:     rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		calls:   map[uint64]func(Result){},
 		peers:   map[string]*peerView{},
+		nodes:   slices.Sorted(slices.Values(append([]string{cfg.Label}, cfg.Peers...))),
 		mach:    map[string]*machine{},
 		batches: map[string]*batch{},
 		types:   map[string]wire.MachineType{},
@@ -136,7 +139,7 @@
 		teamOf:  map[string]int{},
 		began:   -1, behindAt: -micros.Never,
 	}
-	nodes := float64(len(cfg.Peers) + 1)
+	nodes := float64(len(c.nodes))
 	c.stateq.requests = newBucket(cfg.StateRPS * usedPart / nodes)
 	c.stateq.writes = newBucket(cfg.WriteRPS * usedPart / nodes)
 	for i, t := range cfg.Teams {
--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -101,8 +101,7 @@
 // recorderOf is the controller that is to record a dependent, where all take part. It
 // does not follow the share of the job, which comes of the same hash.
 func (c *Core) recorderOf(id string) string {
-	nodes := c.nodes()
-	return nodes[hashOf(id)/uint64(c.cfg.Shares)%uint64(len(nodes))]
+	return c.nodes[hashOf(id)/uint64(c.cfg.Shares)%uint64(len(c.nodes))]
 }
 
 // recordDependents records the next dependents, as far as the limits allow.
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"slices"
 	"strconv"
 
 	"garnethitch/internal/micros"
@@ -261,16 +260,9 @@
 	}
 }
 
-// nodes lists all labels in order.
-func (c *Core) nodes() []string {
-	all := append([]string{c.cfg.Label}, c.cfg.Peers...)
-	slices.Sort(all)
-	return all
-}
-
 // preferredOwner is the node that a share belongs to when all are well.
 func (c *Core) preferredOwner(id int) string {
-	all := c.nodes()
+	all := c.nodes
 	return all[id%len(all)]
 }
 
@@ -315,7 +307,7 @@
 		holds[s.rec.Label]++
 	}
 	rank := 0
-	for _, label := range c.nodes() {
+	for _, label := range c.nodes {
 		if p := c.peers[label]; p != nil && c.alive(p) && !p.withoutWorkers {
 			mine, theirs := holds[c.cfg.Label], holds[label]
 			if theirs < mine || (theirs == mine && label < c.cfg.Label) {
--- a/internal/standin/cascade.go
+++ b/internal/standin/cascade.go
@@ -118,7 +118,6 @@
 	}
 	s.trace("all accepted, %s is cancelled", target.sub.ID)
 	owner := s.ownerOf(members[len(members)-1])
-	s.cascadeAt = s.now
 	target.withdraw()
 	s.after(s.span(0, 300*ms), func() { s.bringAbout(w.Trouble, owner) })
 	s.checkCascade(members, target)
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -49,8 +49,6 @@
 	watchCutOff map[string]micros.Micros
 	// valueBytes and txnOps bound what is taken; what is larger gets 400.
 	valueBytes, txnOps int
-	// Refused counts transactions beyond the limit on changes.
-	Refused int
 	// writes bounds the changes in a second; nil: any number.
 	writes *writeLimit
 }
@@ -214,7 +212,6 @@
 		}
 	}
 	if st.writes != nil && !st.writes.take(st.sim.now, t.Writes()) {
-		st.Refused++
 		status(429, nil)
 		return
 	}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -83,8 +83,6 @@
 	Chained int
 	// CascadeCancelled counts the jobs of a cascade that stand as cancelled at its end.
 	CascadeCancelled int
-	// cascadeAt is when its cancellation is asked for.
-	cascadeAt micros.Micros
 	// Copies counts late copies of reports, Unreachable machines that were out of reach.
 	Copies, Unreachable int
 	// ZoneCuts, Died, Hung and Frozen count what hits many at a time.
