Decisions are logged: entitlement of shares, cancellations, reports; a job's course by command

Cause: a cancelled task ran on at production size, and no line of the logs would have told why its machine's lease had been renewed. Change: what a node may do for a share, and whether a report may be heard and answered, is decided in authority.go with a reason; share entitlement, job cancelled and reports refused at info; report and stop sent at debug, made only where debug is on. garnethitch timeline JOB LOG... merges several logs.

--- a/cmd/garnethitch/main.go
+++ b/cmd/garnethitch/main.go
@@ -16,10 +16,11 @@
 )
 
 type arguments struct {
-	Run     runCommand       `cmd:"" default:"withargs" help:"Run a controller (the default)."`
-	Quota   quotaCommand     `cmd:"" help:"Show and set limits of groups."`
-	Options optionsCommand   `cmd:"" help:"Tell about the operators' options."`
-	Version kong.VersionFlag `help:"Print the version and stop."`
+	Run      runCommand       `cmd:"" default:"withargs" help:"Run a controller (the default)."`
+	Quota    quotaCommand     `cmd:"" help:"Show and set limits of groups."`
+	Options  optionsCommand   `cmd:"" help:"Tell about the operators' options."`
+	Timeline timelineCommand  `cmd:"" help:"Put the course of a job together from the logs of several controllers."`
+	Version  kong.VersionFlag `help:"Print the version and stop."`
 }
 
 type runCommand struct {
--- /dev/null
+++ b/internal/core/authority.go
@@ -0,0 +1,122 @@
+package core
+
+import "garnethitch/internal/wire"
+
+// What this node is entitled to is decided here: whether it may command the
+// machines of a share, hear a report, and renew a machine's lease by answering it.
+// The times come from fence.go.
+
+// reason says why an act is allowed or refused.
+type reason int
+
+const (
+	reasonNone reason = iota
+	// Allowed.
+	reasonCurrentView
+	reasonBlind
+	reasonAnswered
+	// Refused, for a whole share.
+	reasonNotOwner
+	reasonHandingBack
+	reasonNewerClaim
+	reasonLeaseTooOld
+	reasonBlindTooLong
+	// Refused, for one machine.
+	reasonRetiring
+	reasonReturned
+	reasonOldReport
+	reasonHigherToken
+	reasonOutOfReach
+
+	reasonCount
+)
+
+// reasonNames are the words of the log and of the counters.
+var reasonNames = [reasonCount]string{
+	reasonNone:         "none",
+	reasonCurrentView:  "current_view",
+	reasonBlind:        "blind",
+	reasonAnswered:     "answered",
+	reasonNotOwner:     "not_owner",
+	reasonHandingBack:  "handing_back",
+	reasonNewerClaim:   "newer_claim",
+	reasonLeaseTooOld:  "lease_too_old",
+	reasonBlindTooLong: "blind_too_long",
+	reasonRetiring:     "retiring",
+	reasonReturned:     "returned",
+	reasonOldReport:    "old_report",
+	reasonHigherToken:  "higher_token",
+	reasonOutOfReach:   "out_of_reach",
+}
+
+func (r reason) String() string { return reasonNames[r] }
+
+// verdict is whether an act is allowed, and why.
+type verdict struct {
+	allowed bool
+	reason  reason
+}
+
+func allow(r reason) verdict  { return verdict{true, r} }
+func refuse(r reason) verdict { return verdict{false, r} }
+
+// mayCommandShare: may this node answer the reports of a share's machines and send
+// them orders? An owner that can't learn which jobs a former owner ended lets its
+// machines' leases run out: tasks of a cancelled job may be on them.
+func (c *Core) mayCommandShare(s *share) verdict {
+	switch {
+	case !s.active:
+		return refuse(reasonNotOwner)
+	case s.handing:
+		return refuse(reasonHandingBack)
+	case s.mark < s.ceiling:
+		return refuse(reasonNewerClaim)
+	case !c.canCommand():
+		return refuse(reasonLeaseTooOld)
+	case s.current:
+		return allow(reasonCurrentView)
+	case c.now < s.claimedAt+c.bounds.Blind:
+		return allow(reasonBlind)
+	}
+	return refuse(reasonBlindTooLong)
+}
+
+// acting gives the share if this node owns it and may command.
+func (c *Core) acting(id int) *share {
+	if s := c.own.shares[id]; c.mayCommandShare(s).allowed {
+		return s
+	}
+	return nil
+}
+
+// mayHear: may this node take what a report says of a machine on record?
+func (c *Core) mayHear(m *machine, rep *wire.Report) verdict {
+	if m.rec.Retiring {
+		return refuse(reasonRetiring)
+	}
+	s := c.own.shares[m.rec.Share]
+	switch v := c.mayCommandShare(s); {
+	case !v.allowed:
+		return v
+	case m.v == nil:
+		return refuse(reasonNotOwner)
+	case m.returned:
+		return refuse(reasonReturned)
+	case m.v.known && !newer(rep, m.v):
+		return refuse(reasonOldReport)
+	case rep.Token > c.token(s, m):
+		return refuse(reasonHigherToken)
+	default:
+		return v
+	}
+}
+
+// mayRenew: may a report that was heard be answered, which renews the machine's lease?
+func (c *Core) mayRenew(m *machine) verdict {
+	if c.outOfReach(m) {
+		// What it says counts; what it is told does not arrive. No answer renews its
+		// lease by chance while we count on the end of that.
+		return refuse(reasonOutOfReach)
+	}
+	return allow(reasonAnswered)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,8 @@
 	// to them.
 	Quota *quota.Tree
 	Trace bool
+	// LogReports has a debug line made for each report, which says how it was answered.
+	LogReports bool
 
 	// Urgent holds the classes whose tasks are wanted started within a time,
 	// Finished those whose jobs are wanted done within one; the strictest counts.
@@ -81,23 +83,24 @@
 	wake            micros.Micros
 	lastMaintenance micros.Micros
 
-	stateq   stateQueue
-	own      ownership
-	contact  workerContact
-	jobs     jobTable
-	cascade  cancellationCascade
-	fleet    fleet
-	peers    map[string]*peerView
-	nodes    []string // the labels of all controllers, in order
-	mach     map[string]*machine
-	batches  map[string]*batch
-	batchSeq uint64
-	orders   orderQueue
-	quota    quotas
-	preempt  preempting
-	round    uint64        // of observe
-	unlisted []*machine    // see dropUnlistedMachines
-	splitAt  micros.Micros // when the next batch may be split
+	stateq    stateQueue
+	own       ownership
+	contact   workerContact
+	jobs      jobTable
+	cascade   cancellationCascade
+	fleet     fleet
+	peers     map[string]*peerView
+	nodes     []string // the labels of all controllers, in order
+	mach      map[string]*machine
+	batches   map[string]*batch
+	batchSeq  uint64
+	orders    orderQueue
+	quota     quotas
+	preempt   preempting
+	decisions decisions
+	round     uint64        // of observe
+	unlisted  []*machine    // see dropUnlistedMachines
+	splitAt   micros.Micros // when the next batch may be split
 	// lookingUp: the job of a stray attempt is being read.
 	lookingUp bool
 	// looks counts machines, jobs and attempts looked at, so that a test can tell
@@ -340,6 +343,7 @@
 	c.maintainOwnership()
 	c.maintainPeers()
 	c.maintainQuota()
+	c.logDecisions()
 	if c.now < c.walkAt {
 		return
 	}
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -33,7 +33,8 @@
 	if j.run.want != "" {
 		return
 	}
-	c.log(Info, "job cancellation requested", "job", j.id)
+	s := c.own.shares[j.share]
+	c.log(Info, "job cancellation requested", "job", j.id, "share", s.id, "mark", s.mark, "tasks", len(j.run.active))
 	j.run.want = wire.StateCancelled
 	c.haltAll(j)
 	c.own.shares[j.share].queueStale = true
@@ -150,6 +151,7 @@
 	c.cascade.remove(id)
 	c.unlinkDependencies(j)
 	if f.state == wire.StateCancelled {
+		c.logCancelled(j, f)
 		c.spreadCancelled(id)
 	}
 	if f.state == wire.StateDone {
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -51,6 +52,8 @@
 	refusals int
 	// listed is what the cloud lists.
 	listed []wire.ListedMachine
+	// logs are the lines logged so far.
+	logs []Log
 	// watchBlocked is a prefix whose watches bring nothing.
 	watchBlocked string
 }
@@ -86,6 +89,8 @@
 			h.answers[e.Reply] = e
 		case Call:
 			h.call(e)
+		case Log:
+			h.logs = append(h.logs, e)
 		}
 	}
 	for i := 0; i < len(h.watches); i++ {
@@ -366,6 +371,21 @@
 	return out
 }
 
+// logged gives the values of a key in the lines of a text, in order.
+func (h *harness) logged(text, key string) (values []string) {
+	for _, l := range h.logs {
+		if l.Text != text {
+			continue
+		}
+		for i := 0; i+1 < len(l.Args); i += 2 {
+			if l.Args[i] == key {
+				values = append(values, fmt.Sprint(l.Args[i+1]))
+			}
+		}
+	}
+	return values
+}
+
 // withdraw asks to cancel a job.
 func (h *harness) withdraw(id string) Answer {
 	return h.ask(func(r ReplyID) Input { return Withdraw{Reply: r, ID: id} })
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -138,27 +138,16 @@
 		c.unknownMachine(in)
 		return
 	}
-	if m.rec.Retiring {
-		c.answer(in.Reply, 503, nil, 0)
-		return
-	}
 	s := c.own.shares[m.rec.Share]
-	if c.acting(s.id) == nil || m.v == nil {
-		c.heard[m.id] = c.now // bounded: it is on record
-		c.redirect(in.Reply, &s.role)
+	if v := c.mayHear(m, rep); !v.allowed {
+		c.refuseReport(in, m, v)
 		return
 	}
 	v := m.v
-	if m.returned || v.known && !newer(rep, v) || rep.Token > c.token(s, m) {
-		c.answer(in.Reply, 503, nil, 0)
-		return
-	}
 	c.noteReach(m, rep)
 	c.observe(s, m, rep, true)
-	if c.outOfReach(m) {
-		// What it says counts; what it is told does not arrive. No answer renews its
-		// lease by chance while we count on the end of that.
-		c.answer(in.Reply, 503, nil, 0)
+	if v := c.mayRenew(m); !v.allowed {
+		c.refuseReport(in, m, v)
 		return
 	}
 	v.answered = c.now
@@ -167,12 +156,26 @@
 	}
 	commands := c.commands(m, true)
 	v.reach.answered(c.token(s, m), v.token, commands)
+	c.logReport(m, rep, allow(reasonAnswered), commands)
 	c.answer(in.Reply, 200, wire.ReportAnswer{Token: c.token(s, m), Commands: commands}, 0)
 	if !v.settled {
 		c.settleMachine(s, m) // shows our token at once
 	}
 }
 
+// refuseReport sends a worker away.
+func (c *Core) refuseReport(in Checkin, m *machine, v verdict) {
+	c.decisions.refused[v.reason]++
+	c.logReport(m, &in.Report, v, nil)
+	switch v.reason {
+	case reasonNotOwner, reasonHandingBack, reasonNewerClaim, reasonLeaseTooOld, reasonBlindTooLong:
+		c.heard[m.id] = c.now // bounded: it is on record
+		c.redirect(in.Reply, &c.own.shares[m.rec.Share].role)
+	default:
+		c.answer(in.Reply, 503, nil, 0)
+	}
+}
+
 // redirect sends a worker to the holder of a role, if that is somebody else
 // and this node's knowledge is fresh.
 func (c *Core) redirect(r ReplyID, ro *role) {
@@ -228,7 +231,7 @@
 		v.gone, v.doubt = false, false
 		c.placementDue = true
 		c.touch(m)
-		c.log(Debug, "machine settled", "machine", m.id, "tasks", len(rep.Tasks))
+		c.log(Debug, "machine settled", "machine", m.id, "token", rep.Token, "tasks", len(rep.Tasks))
 	}
 	if v.unclear != 0 && rep.Token > v.unclear {
 		v.unclear = 0 // unanswered orders are void now; what they did is in this report
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -64,6 +64,7 @@
 			if att.state == attemptSaving && att.halt == haltSave {
 				continue
 			}
+			c.logStop(att, forReport)
 			att.haltAt = c.now
 			out = append(out, wire.Command{Op: wire.OpStop, Task: wire.TaskName(att.key.job, att.idx), Attempt: att.key.attempt, GraceS: grace})
 		}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -106,17 +106,6 @@
 	return r.mark != 0 && c.own.lease != 0 && r.rec.Label == c.cfg.Label && r.rec.Incarnation == c.own.lease
 }
 
-// acting gives the share if this node owns it and may command. One that can't learn
-// which jobs a former owner ended lets its machines' leases run out: tasks of a
-// cancelled job may be on them.
-func (c *Core) acting(id int) *share {
-	s := c.own.shares[id]
-	if s.active && !s.handing && s.mark >= s.ceiling && c.canCommand() && (s.current || c.now < s.claimedAt+c.bounds.Blind) {
-		return s
-	}
-	return nil
-}
-
 // Owns tells whether this node owns an unfinished job and may command its machines.
 func (c *Core) Owns(id string) bool {
 	j := c.jobs.open[id]
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -71,9 +71,11 @@
 
 // New prepares a controller.
 func New(set config.Settings, opt config.Options, log *slog.Logger, seed uint64) *Runtime {
+	cfg := CoreConfig(set, opt)
+	cfg.LogReports = log != nil && log.Enabled(context.Background(), slog.LevelDebug)
 	rt := &Runtime{
 		set: set, log: log, start: time.Now(),
-		core:    core.New(CoreConfig(set, opt), seed),
+		core:    core.New(cfg, seed),
 		replies: map[core.ReplyID]waiting{},
 		peers:   map[string]string{},
 	}
