A server's look at its address accepts nobody; a test of serving failed once by it

Cause: TestServing/one got a reset. Before gnet listens, the server listened once itself, to see that nobody else does, and closed that: a client that connected in between was accepted by the kernel and reset. Change: the look binds and does not listen.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -13,7 +13,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -192,11 +191,9 @@
 		addrs[i] = "tcp4://" + a
 		// gnet shares the address, so that one loop accepts and serves; a second
 		// process on it must fail all the same, not take half of the connections.
-		l, err := net.Listen("tcp4", a)
-		if err != nil {
-			return fmt.Errorf("serve: %w", err)
+		if err := checkFree(a); err != nil {
+			return fmt.Errorf("serve %s: %w", a, err)
 		}
-		l.Close()
 	}
 	for failures := 0; ; {
 		began := s.cfg.Now()
