Failing: a cancelled task lives on across takeovers; the simulation checks each renewal

The incident's test, and the simulation's check made stricter: it saw a task past its time only, now an answer that renews a machine's lease past the time of a cancelled task without its stop counts.

--- /dev/null
+++ b/internal/core/cancelled_test.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"testing"
+
+	"garnethitch/internal/micros"
+	"garnethitch/internal/wire"
+)
+
+// The incident of the cancelled task (docs/incidents/2026-12-cancelled-task-ran-on.md).
+//
+// Seen: a task was on its machine more than cancel_s after its user had been told that the
+// job is cancelled. How: the stop did not reach the machine, which then heard a controller
+// only now and then, and each time a new claim of its share had just been made. Cause: the
+// first answer after a claim renewed the machine's lease with the new token and nothing
+// else, since lists of tasks were believed only once the token had been shown. Proof: a
+// machine that obeys all it hears is rid of the task in time.
+func TestCancelledTaskAcrossTakeovers(t *testing.T) {
+	h := meet(t, withPeer)
+	token, attempt := h.runOne()
+	w := slowWorker{h: h, token: token, attempt: attempt, seq: 100, leaseEnds: h.now + h.c.cfg.WorkerLease}
+	if a := h.withdraw("job-000001"); a.Status != 200 {
+		t.Fatalf("withdrawal answered %d", a.Status)
+	}
+	told := h.now
+	for w.alive() {
+		if h.now > told+h.c.cfg.Cancel {
+			t.Fatalf("the task is still on its machine %v s after its user was told, and its lease ends in %v s",
+				(h.now - told).Seconds(), (w.leaseEnds - h.now).Seconds())
+		}
+		h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}}) // the owner ends, the next one claims
+		h.run(3 * sec)
+		w.report()
+		h.run(3 * sec) // nothing that is sent to it directly arrives
+	}
+}
+
+// slowWorker is a machine that runs job-000001/0. It hears answers to its reports, and
+// nothing that is sent to it directly.
+type slowWorker struct {
+	h              *harness
+	token, attempt uint64
+	seq            uint64
+	stopped        bool
+	leaseEnds      micros.Micros
+}
+
+func (w *slowWorker) alive() bool { return !w.stopped && w.h.now < w.leaseEnds }
+
+// report sends a report, and does what the answer says.
+func (w *slowWorker) report() {
+	w.seq++
+	status, body := w.h.checkin(w.h.running(w.seq, w.token, w.attempt))
+	if status != 200 || body.Token < w.token {
+		return
+	}
+	w.token = body.Token
+	w.leaseEnds = w.h.now + w.h.c.cfg.WorkerLease
+	w.stopped = w.stopped || stops(body.Commands) > 0
+}
--- a/internal/standin/checks.go
+++ b/internal/standin/checks.go
@@ -117,6 +117,23 @@
 	s.checkPlace(w, t, &u.sub, zones)
 }
 
+// renewalMargin is what drift between clocks and steps of time may add to a lease.
+const renewalMargin = 200 * ms
+
+// checkRenewed: an answer that renews a machine's lease past the time of a cancelled task
+// brings the task's stop. Else the task is gone in time only if all goes well from then on.
+func (s *Sim) checkRenewed(w *Worker) {
+	ends := s.now + w.began + s.cfg.WorkerLease - w.clock()
+	for _, key := range w.order() {
+		t := w.tasks[key]
+		u := s.userOf(t.job)
+		if t.state == wire.TaskExited || u == nil || u.cancelTold == 0 || ends <= u.cancelTold+s.cfg.Cancel+renewalMargin {
+			continue
+		}
+		s.broken("renewed: the lease of %s, which ends %v s after %s was called cancelled, and %s has not been stopped", w.id, (ends - u.cancelTold).Seconds(), t.job, t.name)
+	}
+}
+
 // checkOnce: a task runs on one machine only. It gives the job's other tasks by zone.
 func (s *Sim) checkOnce(w *Worker, t *task) map[string]int {
 	zones := map[string]int{}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -278,6 +278,7 @@
 	w.raise(body.Token)
 	w.began = max(w.began, sent)
 	w.execute(body.Commands)
+	s.checkRenewed(w)
 }
 
 func (w *Worker) raise(token uint64) {
