The stop of a cancelled task goes with each answer that renews its machine's lease

A machine whose stop had not arrived, and which heard a controller only every 40 s or so (hung, out of reach for a while), met a new claim each time and kept its cancelled task. So did a task not adopted before Versions are loaded. The false assumption was that settling is a matter of one more report. Change: stopsBefore gives the stops of an answer from the report itself where the list is not believed, and stops what is not adopted. No answer leaves without: checkRenewal and checkStart note a broken invariant (an Error line, a count; a failure in tests and in the simulation).

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -67,6 +67,11 @@
 		(att.ordered == 0 || att.why == wire.WhyDone || att.prefetch || att.m.v.token > att.ordered)
 }
 
+// onMachine: the machine has shown the attempt, and not its end.
+func (att *attempt) onMachine() bool {
+	return att.state >= attemptFetching && att.state != attemptExited
+}
+
 // addAttempt puts an attempt on a machine's list.
 func (c *Core) addAttempt(att *attempt) {
 	att.m.v.put(att)
--- a/internal/core/authority.go
+++ b/internal/core/authority.go
@@ -120,3 +120,36 @@
 	}
 	return allow(reasonAnswered)
 }
+
+// InvariantBroken is the text of the log line that tells of a broken invariant.
+const InvariantBroken = "invariant broken"
+
+// invariantFails notes that what must hold whenever this node acts does not. The line
+// tells the evidence; service goes on.
+func (c *Core) invariantFails(name string, evidence ...any) {
+	c.decisions.broken++
+	c.log(Error, InvariantBroken, append([]any{"invariant", name, "count", c.decisions.broken}, evidence...)...)
+}
+
+// checkRenewal: no answer renews the lease of a machine on which a cancelled task is left
+// without its stop.
+func (c *Core) checkRenewal(m *machine) {
+	if !m.v.settled {
+		return
+	}
+	for _, att := range m.v.list {
+		if att.halt != haltHard && att.onMachine() && c.cancelled(att.key.job) {
+			c.invariantFails("a renewal stops cancelled tasks", "task", wire.TaskName(att.key.job, att.idx), "machine", m.id, "mark", c.own.shares[m.rec.Share].mark)
+		}
+	}
+}
+
+// checkStart: no start is sent for a job that is over or is to be cancelled.
+func (c *Core) checkStart(att *attempt) {
+	if att.prefetch {
+		return // for its image only, of a job that is done
+	}
+	if _, over := c.jobs.final(att.key.job); over || c.cancelled(att.key.job) {
+		c.invariantFails("no start of a job that is over", "task", wire.TaskName(att.key.job, att.idx), "machine", att.m.id)
+	}
+}
--- a/internal/core/cancelled_test.go
+++ b/internal/core/cancelled_test.go
@@ -58,3 +58,24 @@
 	w.leaseEnds = w.h.now + w.h.c.cfg.WorkerLease
 	w.stopped = w.stopped || stops(body.Commands) > 0
 }
+
+// A cancellation that is taken up before the Versions of the former owner's time are
+// loaded stops the tasks that the machines show: its record may be carried out, and be
+// told by others, without this node's knowing.
+func TestCancelledTaskBeforeVersions(t *testing.T) {
+	h := meet(t, withPeer)
+	token, attempt := h.runOne()
+	h.unlisted = wire.PrefixVersion
+	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
+	h.run(2 * sec)
+	_, body := h.checkin(h.running(20, token, attempt))
+	token = body.Token
+	if status, body := h.checkin(h.running(21, token, attempt)); status != 200 || stops(body.Commands) != 0 || !h.c.mach["vm-1"].v.settled {
+		t.Fatalf("answered %d %v: the case is not what it should be", status, body.Commands)
+	}
+	h.lose, h.watchBlocked = wire.JobKey("job-000001"), wire.PrefixJob
+	h.withdraw("job-000001")
+	if _, body := h.checkin(h.running(22, token, attempt)); stops(body.Commands) != 1 {
+		t.Errorf("commands %v, want the task stopped", body.Commands)
+	}
+}
--- a/internal/core/decisions.go
+++ b/internal/core/decisions.go
@@ -15,6 +15,7 @@
 	refused [reasonCount]uint64
 	told    [reasonCount]uint64
 	nextAt  micros.Micros
+	broken  uint64 // invariants
 }
 
 // refusedEvery is how often the counts of refused reports are logged.
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -48,6 +48,39 @@
 	}
 }
 
+// cancelled: a user has been told, or may be at any moment, that a job is cancelled.
+func (c *Core) cancelled(id string) bool {
+	if f, over := c.jobs.final(id); over {
+		return f.state == wire.StateCancelled
+	}
+	j := c.jobs.open[id]
+	return j != nil && j.run != nil && j.run.want == wire.StateCancelled
+}
+
+// stopsBefore sees to it that the answer to a report stops each cancelled task that the
+// report lists. An answer renews the machine's lease, so the stop goes with every one, the
+// first after a claim too: the machine may not hear the next before it changes hands again.
+// It gives the stops for a machine whose list is not believed yet; its age does not matter
+// to them, since no attempt comes twice.
+func (c *Core) stopsBefore(m *machine, rep *wire.Report) (stops []wire.Command) {
+	if m.v.settled {
+		for _, att := range m.v.list {
+			if att.halt != haltHard && att.onMachine() && c.cancelled(att.key.job) {
+				c.stop(att, haltHard)
+			}
+		}
+		return nil
+	}
+	for i := range rep.Tasks {
+		t := &rep.Tasks[i]
+		id, _, err := wire.ParseTask(t.Task)
+		if err == nil && t.State != wire.TaskExited && c.cancelled(id) {
+			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: new(0.0)})
+		}
+	}
+	return stops
+}
+
 // refusedPause is how long a write that the state service refused as malformed or too
 // large is put off.
 const refusedPause = 15 * micros.Second
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -54,6 +54,8 @@
 	listed []wire.ListedMachine
 	// logs are the lines logged so far.
 	logs []Log
+	// unlisted is a prefix whose listings are refused.
+	unlisted string
 	// watchBlocked is a prefix whose watches bring nothing.
 	watchBlocked string
 }
@@ -91,6 +93,9 @@
 			h.call(e)
 		case Log:
 			h.logs = append(h.logs, e)
+			if e.Text == InvariantBroken {
+				h.t.Errorf("%s: %v", e.Text, e.Args)
+			}
 		}
 	}
 	for i := 0; i < len(h.watches); i++ {
@@ -186,6 +191,10 @@
 			h.result(c, 404, nil)
 		}
 	case ListKeys:
+		if h.unlisted != "" && strings.HasPrefix(r.Prefix, h.unlisted) {
+			h.result(c, 429, nil)
+			return
+		}
 		list := &wire.KeyList{Revision: h.rev}
 		for _, k := range sortedKeys(h.keys) {
 			if strings.HasPrefix(k, r.Prefix) && k > r.After {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -154,7 +154,9 @@
 	if v.settled {
 		c.placeOn(s, m) // what it is to do goes into the answer, not into an order
 	}
-	commands := c.commands(m, true)
+	commands := c.stopsBefore(m, rep)
+	commands = append(commands, c.commands(m, true)...)
+	c.checkRenewal(m)
 	v.reach.answered(c.token(s, m), v.token, commands)
 	c.logReport(m, rep, allow(reasonAnswered), commands)
 	c.answer(in.Reply, 200, wire.ReportAnswer{Token: c.token(s, m), Commands: commands}, 0)
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -89,6 +89,7 @@
 		}
 		att.since = c.now
 		c.touch(m)
+		c.checkStart(att)
 		out = append(out, wire.Command{Op: wire.OpStart, Task: wire.TaskName(att.key.job, att.idx), Attempt: att.key.attempt})
 	}
 	return out
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -112,6 +112,9 @@
 			n.call(e)
 		case core.Log:
 			n.sim.trace("%s %s %v", n.label, e.Text, e.Args)
+			if e.Level == core.Error && e.Text == core.InvariantBroken {
+				n.sim.broken("%s: %s %v", n.label, e.Text, e.Args)
+			}
 		}
 	}
 	if w := n.core.Wake(); w < n.wake || n.wake <= at.Steady {
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -98,9 +98,10 @@
 	Wasted int
 	// Reports and Rounds tell what a report and a round, in which a controller looks at
 	// whole shares, cost. MostAlone counts the machines that one controller commanded
-	// while it was the only one.
+	// while it was the only one, UpAlone those that were up then.
 	Reports, Rounds workSum
 	MostAlone       int
+	UpAlone         int
 	// LimitsSet counts limits of groups that operators have set, GroupWrites writes of
 	// groups' records.
 	LimitsSet, GroupWrites int
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -148,29 +148,46 @@
 // a report costs may not grow with the fleet, nor what a round costs for each machine.
 func TestLargeFleet(t *testing.T) {
 	t.Parallel()
-	play := func(machines int) (perReport, perMachine float64) {
-		s := New(Plan{Seed: 1, Nodes: 3, Machines: machines, Up: machines, Jobs: machines / 8, Grown: true, Waves: true, Teams: oneTeam, Length: 90 * sec, Rest: 300 * sec})
+	type cost struct{ report, round, mostRound float64 } // the latter two for each machine
+	play := func(machines int, seed uint64) cost {
+		s := New(Plan{Seed: seed, Nodes: 3, Machines: machines, Up: machines, Jobs: machines / 8, Grown: true, Waves: true, Teams: oneTeam, Length: 90 * sec, Rest: 300 * sec})
 		s.Run()
 		for _, b := range s.Broken {
 			t.Error(b)
 		}
-		if s.MostAlone < machines*9/10 {
-			t.Errorf("%d of %d machines are commanded by the controller that is left alone", s.MostAlone, machines)
+		up := machines
+		if seed != 1 {
+			up = s.UpAlone // elsewhere idle machines have been returned by then
+		}
+		if s.MostAlone < up*9/10 {
+			t.Errorf("%d of %d machines are commanded by the controller that is left alone", s.MostAlone, up)
 		}
 		if s.Started == 0 || s.Finished == 0 {
 			t.Errorf("nothing ran: %d started, %d finished", s.Started, s.Finished)
 		}
 		t.Logf("%d machines: %d reports, %.1f looked at by each; %d rounds, %.0f by each, %d at most; %d tasks",
 			machines, s.Reports.steps, s.Reports.mean(), s.Rounds.steps, s.Rounds.mean(), s.Rounds.most, s.Finished)
-		return s.Reports.mean(), float64(s.Rounds.most) / float64(machines)
+		return cost{s.Reports.mean(), s.Rounds.mean() / float64(machines), float64(s.Rounds.most) / float64(machines)}
+	}
+	// The costliest round of one play is chance: with a thousand machines it looks 2.6 to
+	// 7 times at each, so that plays of several seeds are what the large fleet is held to.
+	const plays = 5
+	var small cost
+	for seed := range uint64(plays) {
+		c := play(1000, seed+1)
+		small.report += c.report / plays
+		small.round += c.round / plays
+		small.mostRound += c.mostRound / plays
+	}
+	large := play(4000, 1)
+	if large.report > small.report+maxMoreLooked {
+		t.Errorf("a report makes a controller look at %.1f machines, jobs and attempts, at 1000 machines at %.1f", large.report, small.report)
 	}
-	smallReport, smallRound := play(1000)
-	largeReport, largeRound := play(4000)
-	if largeReport > smallReport+maxMoreLooked {
-		t.Errorf("a report makes a controller look at %.1f machines, jobs and attempts, at 1000 machines at %.1f", largeReport, smallReport)
+	if large.round > 1.5*small.round {
+		t.Errorf("a round looks %.2f times at each machine, at 1000 machines %.2f times", large.round, small.round)
 	}
-	if largeRound > 2*smallRound+1 {
-		t.Errorf("a round looks %.1f times at each machine, at 1000 machines %.1f times", largeRound, smallRound)
+	if large.mostRound > 2*small.mostRound+1 {
+		t.Errorf("the costliest round looks %.1f times at each machine, at 1000 machines %.1f times", large.mostRound, small.mostRound)
 	}
 }
 
--- a/internal/standin/waves.go
+++ b/internal/standin/waves.go
@@ -33,11 +33,21 @@
 	})
 	s.after(45*sec+aloneFor-sec, func() {
 		if left.core != nil {
-			s.MostAlone = left.core.Commanded()
+			s.MostAlone, s.UpAlone = left.core.Commanded(), s.up()
 		}
 	})
 }
 
+// up counts the machines that are up.
+func (s *Sim) up() (n int) {
+	for _, w := range s.workers {
+		if !w.dead && s.now >= w.upAt {
+			n++
+		}
+	}
+	return n
+}
+
 // workSum adds up what steps of one kind cost.
 type workSum struct {
 	steps, looked, most uint64
