Failing: owners that do not know of ends follow one another and feed a cancelled task

Found by new plans of the simulation (stale): the state service takes claims and renewals and refuses looks at jobs while owners end in series.

--- a/internal/core/cancelled_test.go
+++ b/internal/core/cancelled_test.go
@@ -59,6 +59,37 @@
 	w.stopped = w.stopped || stops(body.Commands) > 0
 }
 
+// Found beside the incident, by the simulation: owners that had not caught up with jobs
+// followed one another, and each fed its machines for a time that began with its own claim.
+// Seen: a cancelled task lived on while the state service let claims and renewals through
+// and no look at jobs. Cause: the time allowed to an owner that does not know what its
+// predecessor ended counted on a predecessor that did. Proof: whatever the number of
+// claims, a machine that is heard all the time is rid of the task in time.
+func TestBlindOwnersInSeries(t *testing.T) {
+	h := meet(t, func(c *Config) {
+		withPeer(c)
+		c.Cancel = 40 * sec
+	})
+	token, attempt := h.runOne()
+	w := slowWorker{h: h, token: token, attempt: attempt, seq: 100, leaseEnds: h.now + h.c.cfg.WorkerLease}
+	h.watchBlocked = wire.PrefixJob
+	h.unlisted = wire.PrefixJob
+	h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99})
+	h.put(wire.JobKey("job-000001"), wire.JobRecord{State: wire.StateCancelled, Tasks: 1})
+	told := h.now
+	for w.alive() {
+		h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}}) // the owner ends, this node claims
+		for until := h.now + 8*sec; h.now < until && w.alive(); {
+			h.run(sec)
+			w.report()
+			if h.now > told+h.c.cfg.Cancel {
+				t.Fatalf("the task is still on its machine %v s after its user was told, and its lease ends in %v s",
+					(h.now - told).Seconds(), (w.leaseEnds - h.now).Seconds())
+			}
+		}
+	}
+}
+
 // A cancellation that is taken up before the Versions of the former owner's time are
 // loaded stops the tasks that the machines show: its record may be carried out, and be
 // told by others, without this node's knowing.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -174,6 +174,10 @@
 				}
 				return
 			}
+			if n.sim.refusesJobs(call) {
+				reply(core.Result{Status: 429})
+				return
+			}
 			if call.To == core.ToState && n.sim.lateWrite(n, call) {
 				return
 			}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -46,6 +46,11 @@
 	// meetings.go. Gap plays the gap: one controller loses the state service with the
 	// answers of what it wrote, then all lose it for longer than a cancellation has.
 	Meet, Gap bool
+	// Stale has controllers act on stale knowledge: the state service refuses reads of jobs
+	// while owners end one after the other; see stale.go. FinalJobs is how many final states
+	// a controller keeps; 0: the core's own number.
+	Stale     bool
+	FinalJobs int
 	// Churn makes every job one task, four of them a second, a quarter cancelled.
 	Churn bool
 	// Pipelines is how many sets of jobs that need each other are submitted besides.
@@ -88,6 +93,8 @@
 	Chained int
 	// CascadeCancelled counts the jobs of a cascade that stand as cancelled at its end.
 	CascadeCancelled int
+	// Stale counts the times in which controllers knew little.
+	Stale int
 	// Copies counts late copies of reports, Unreachable machines that were out of reach.
 	Copies, Unreachable int
 	// ZoneCuts, Died, Hung and Frozen count what hits many at a time.
@@ -130,7 +137,7 @@
 		StateRPS: 300, WriteRPS: 80, ValueBytes: 8 << 10, TxnOps: 8, Asks: 24, SilentReturn: -1,
 		CloudRPS: 10, ListLag: 2 * sec,
 		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, BeginWithin: 60 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
-		Urgent: map[string]micros.Micros{"rush": 3 * sec},
+		Urgent: map[string]micros.Micros{"rush": 3 * sec}, FinalJobs: p.FinalJobs,
 	}
 	s.State.valueBytes, s.State.txnOps = s.cfg.ValueBytes, s.cfg.TxnOps
 	if p.Gap {
@@ -193,6 +200,9 @@
 	if p.Gap {
 		s.scheduleGap()
 	}
+	if p.Stale {
+		s.scheduleStale()
+	}
 	return s
 }
 
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -72,6 +72,8 @@
 		{"meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true}, 16},
 		{"meetings and troubles, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Faults: true}, 8},
 		{"meetings and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Faults: true}, 8},
+		{"stale, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true}, 24},
+		{"stale, teams parted", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true}, 8},
 		{"churn, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true}, 2},
 		{"churn and meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true, Meet: true}, 3},
 		// Pipelines, and a roll from the version in production.
@@ -118,6 +120,7 @@
 	s := New(p)
 	if os.Getenv("GARNETHITCH_TRACE") != "" {
 		s.Trace = func(line string) { t.Log(line) }
+		s.cfg.LogReports = true
 	}
 	s.Run()
 	for _, b := range s.Broken {
@@ -129,6 +132,9 @@
 	if p.Slow > 0 && s.Waited < 3*p.Slow {
 		t.Errorf("nothing had to wait: %v s at most", s.Waited.Seconds())
 	}
+	if p.Stale && len(s.Broken) == 0 && (s.Stale < 2 || s.meet.Cancelled == 0) {
+		t.Errorf("too little happened: controllers knew little %d times, %d jobs cancelled", s.Stale, s.meet.Cancelled)
+	}
 	if p.Pipelines > 0 && !p.Meet && !p.Faults && s.Chained == 0 {
 		t.Error("no task started after others")
 	}
