The time of an owner that does not know of ends counts from the age of its view of jobs

Owners that could claim and renew, but not look at jobs, followed one another, and a machine with a cancelled task was fed beyond its time. Change: a listing or watch of jobs notes when it was asked for, and Blind counts from there. A process without a view of jobs answers no report until it has one. Whoever told a user of an end did so after the view was complete, so that one claim more changes nothing.

--- a/internal/core/authority.go
+++ b/internal/core/authority.go
@@ -75,7 +75,7 @@
 		return refuse(reasonLeaseTooOld)
 	case s.current:
 		return allow(reasonCurrentView)
-	case c.now < s.claimedAt+c.bounds.Blind:
+	case c.now < c.own.job.completeAt+c.bounds.Blind:
 		return allow(reasonBlind)
 	}
 	return refuse(reasonBlindTooLong)
--- a/internal/core/decisions.go
+++ b/internal/core/decisions.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		c.log(Info, "share entitlement", "share", s.id, "mark", s.mark, "owner", s.rec.Label, "may_command", v.allowed, "why", v.reason.String(), "before", was.String(),
-			"jobs_revision", c.own.job.since, "jobs_age_ms", (c.now - c.own.job.seenAt).Millis(), "renewed_ms", (c.now - c.own.renewed).Millis())
+			"jobs_revision", c.own.job.since, "jobs_age_ms", (c.now - c.own.job.completeAt).Millis(), "renewed_ms", (c.now - c.own.renewed).Millis())
 	}
 	if c.now >= d.nextAt {
 		d.nextAt = c.now + refusedEvery
--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -14,8 +14,8 @@
 	Answer micros.Micros
 	// Command: for this long it may answer reports and command its machines.
 	Command micros.Micros
-	// Blind: for this long after a claim it may do so without knowing which jobs its
-	// predecessors ended.
+	// Blind: for this long after its view of jobs was last complete an owner may do so
+	// without knowing which jobs its predecessors have ended since.
 	Blind micros.Micros
 	// WorkerGone: a machine whose last answered report was answered this long
 	// ago holds no task any more.
@@ -57,9 +57,10 @@
 	return Bounds{
 		Answer:  answer,
 		Command: max(answer, extra),
-		// What its predecessor told last may be a lease older than the claim, and the
-		// claim as much older than its confirmation.
-		Blind:         max(answer, extra-2*lease),
+		// Whoever it was that ended a job unknown to this owner, its user was told after
+		// the view was complete. Counted from a claim, the times of owners that follow
+		// one another would add up.
+		Blind:         extra,
 		WorkerGone:    addDrift(workerLease) + slip,
 		SuccessorFree: addDrift(extra+workerLease) + 3*slip,
 	}
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -71,8 +71,8 @@
 	for i := range shares {
 		o.shares = append(o.shares, &share{id: i})
 	}
-	o.ctl = watched{prefix: wire.PrefixControl, every: 80 * micros.Millisecond, openedAt: -micros.Never}
-	o.job = watched{prefix: wire.PrefixJob, every: jobWatchEvery, openedAt: -micros.Never}
+	o.ctl = watched{prefix: wire.PrefixControl, every: 80 * micros.Millisecond, openedAt: -micros.Never, completeAt: -micros.Never}
+	o.job = watched{prefix: wire.PrefixJob, every: jobWatchEvery, openedAt: -micros.Never, completeAt: -micros.Never}
 	o.contact = -micros.Never
 }
 
@@ -216,6 +216,7 @@
 		return // the listing under way comes first; maintainMachines asks again
 	}
 	s.catching = true
+	asked := c.now
 	// Where the state service is slow, what lets renewals through lets this through.
 	c.askState(prioLease, Watch{Prefix: w.prefix, Since: w.since}, c.cfg.Lease, func(r Result) {
 		if !s.active || s.mark != mark {
@@ -231,6 +232,7 @@
 		}
 		c.applyEvents(body.Events)
 		w.seenAt = c.now
+		w.completeAt = max(w.completeAt, asked)
 		s.current = true
 		c.placementDue = true
 	})
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -25,6 +25,10 @@
 	after    string
 	seenAt   micros.Micros // when it was last heard of: up to then all is known
 	first    uint64        // revision of the listing's first page
+	// completeAt: all that stood then is known, unless it has left memory. It is when
+	// what brought it was asked for, since the answer may have been long on its way.
+	completeAt micros.Micros
+	listFrom   micros.Micros // when the listing under way began
 }
 
 // What the others' jobs do is nobody's hurry: an owner hears of a new job from the
@@ -53,7 +57,7 @@
 		c.listPage(w)
 		return
 	}
-	req := Watch{Prefix: w.prefix, Since: w.since, WaitMS: watchBlock.Millis()}
+	req, asked := Watch{Prefix: w.prefix, Since: w.since, WaitMS: watchBlock.Millis()}, c.now
 	c.askState(prioLease, req, watchBlock+2*micros.Second, func(r Result) {
 		w.busy = false
 		switch body := r.Body.(type) {
@@ -64,6 +68,7 @@
 			c.own.contact, w.seenAt = c.now, c.now
 			c.applyEvents(body.Events)
 			w.since = max(w.since, body.Revision)
+			w.completeAt = max(w.completeAt, asked)
 		default:
 			if outgrown(r.Status) {
 				w.ready = false
@@ -81,6 +86,9 @@
 
 func (c *Core) listPage(w *watched) {
 	const page = 500
+	if w.after == "" {
+		w.listFrom = c.now
+	}
 	c.askState(prioLease, ListKeys{Prefix: w.prefix, After: w.after, Limit: page}, 3*micros.Second, func(r Result) {
 		w.busy = false
 		body, ok := r.Body.(*wire.KeyList)
@@ -106,6 +114,7 @@
 			c.dropUnlistedMachines()
 		}
 		w.ready, w.since, w.after, w.listed, w.seenAt = true, w.first, "", nil, c.now
+		w.completeAt = max(w.completeAt, w.listFrom)
 		c.follow(w)
 	})
 }
