--- a/internal/core/cancelled_test.go
+++ b/internal/core/cancelled_test.go
@@ -90,6 +90,34 @@
 	}
 }
 
+// Found beside the incident, by the simulation, and not mended yet.
+// Seen: a cancelled task lived on at an owner with a current view of jobs. How: its machine
+// was out of reach when it was cancelled, the share was claimed anew, and the job's end had
+// left the memory of ends; reads of single jobs were refused. Cause: what nobody can vouch
+// for is fed until a read succeeds, without a bound. Proof: a machine that is heard all the
+// time is rid of the task in time.
+func TestStrayUnread(t *testing.T) {
+	h := meet(t, func(c *Config) {
+		withPeer(c)
+		c.FinalJobs, c.Cancel = 1, 40*sec
+	})
+	token, attempt := h.runOne()
+	w := slowWorker{h: h, token: token, attempt: attempt, seq: 100, leaseEnds: h.now + h.c.cfg.WorkerLease}
+	h.withdraw("job-000001")
+	told := h.now
+	h.put(wire.JobKey("job-000002"), wire.JobRecord{State: wire.StateDone, Tasks: 1})
+	h.unread = wire.PrefixJob
+	h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}}) // the owner ends, this node claims
+	for w.alive() {
+		h.run(sec)
+		w.report()
+		if h.now > told+h.c.cfg.Cancel {
+			t.Fatalf("the task is still on its machine %v s after its user was told, and its lease ends in %v s",
+				(h.now - told).Seconds(), (w.leaseEnds - h.now).Seconds())
+		}
+	}
+}
+
 // A cancellation that is taken up before the Versions of the former owner's time are
 // loaded stops the tasks that the machines show: its record may be carried out, and be
 // told by others, without this node's knowing.
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -54,8 +54,8 @@
 	listed []wire.ListedMachine
 	// logs are the lines logged so far.
 	logs []Log
-	// unlisted is a prefix whose listings are refused.
-	unlisted string
+	// unlisted is a prefix whose listings are refused, unread one whose keys can't be read.
+	unlisted, unread string
 	// watchBlocked is a prefix whose watches bring nothing.
 	watchBlocked string
 }
@@ -185,6 +185,10 @@
 		h.result(c, 200, nil)
 	case GetKey:
 		h.reads++
+		if h.unread != "" && strings.HasPrefix(r.Key, h.unread) {
+			h.result(c, 429, nil)
+			return
+		}
 		if kv, ok := h.keys[r.Key]; ok {
 			h.result(c, 200, &kv)
 		} else {
