--- a/internal/core/authority.go
+++ b/internal/core/authority.go
@@ -2,9 +2,10 @@
 
 import "garnethitch/internal/wire"
 
-// What this node is entitled to is decided here: whether it may command the
-// machines of a share, hear a report, and renew a machine's lease by answering it.
-// The times come from fence.go.
+// What this node is entitled to is decided here: whether it may command the machines of a
+// share, hear a report, renew a machine's lease by answering it, start, free a machine, let
+// it go, record, tell and lead. The times come from fence.go. docs/incidents/2026-12-cancelled-task-ran-on.md
+// lists on what knowledge each path relies, and how old that may be.
 
 // reason says why an act is allowed or refused.
 type reason int
@@ -60,6 +61,32 @@
 func allow(r reason) verdict  { return verdict{true, r} }
 func refuse(r reason) verdict { return verdict{false, r} }
 
+// canAnswer: may this node speak for its shares from memory, and record?
+func (c *Core) canAnswer() bool {
+	return c.own.lease != 0 && c.now < c.own.renewed+c.bounds.Answer
+}
+
+// canCommand: may it answer reports and command machines?
+func (c *Core) canCommand() bool {
+	return c.own.lease != 0 && c.now < c.own.renewed+c.bounds.Command
+}
+
+// mayStart: no other node can have told a user of a cancellation that this one does
+// not know of. Beyond the lease that is so only while every other controller says that
+// it has lost the state service too: a successor may have told, and what it tells on
+// may be under way.
+func (c *Core) mayStart() bool {
+	if c.canAnswer() {
+		return true
+	}
+	for _, p := range c.peers {
+		if !c.alive(p) || p.stateOK {
+			return false
+		}
+	}
+	return true
+}
+
 // mayCommandShare: may this node answer the reports of a share's machines and send
 // them orders? An owner that can't learn which jobs a former owner ended lets its
 // machines' leases run out: tasks of a cancelled job may be on them.
@@ -121,6 +148,40 @@
 	return allow(reasonAnswered)
 }
 
+// speaksFor: this node may tell of an open job from memory.
+func (c *Core) speaksFor(j *job) bool {
+	s := c.acting(j.share)
+	return j.run != nil && s != nil && c.canAnswer() && (s.current || j.run.fresh)
+}
+
+// leading: may this node rent, return and assign machines for all?
+func (c *Core) leading() bool {
+	return c.isMine(&c.own.leader) && c.own.leader.mark != c.own.stepped && c.canAnswer()
+}
+
+// mayFree: does a machine provably hold no task any more, since its lease has run out?
+// Once another node could own the share, it may have answered the machine and so renewed
+// its lease (ran_twice in the grown simulation: a node that had lost the state service and
+// its peers, but not its workers).
+func (c *Core) mayFree(s *share, m *machine) bool {
+	v := m.v
+	if v.gone || !v.known && !v.doubt || !c.canAnswer() {
+		return false
+	}
+	bound := max(v.settledAt, v.answered) + c.bounds.WorkerGone
+	if !v.settled {
+		bound = max(s.freeAt, v.answered+c.bounds.WorkerGone, v.settledAt+c.bounds.WorkerGone)
+	}
+	return c.now >= bound
+}
+
+// releasable: nothing is on the machine, and nothing that could come.
+func (c *Core) releasable(m *machine, retire bool) bool {
+	v := m.v
+	return !v.releasing && !v.orderBusy && v.unclear == 0 && (v.settled || v.gone) && v.empty() &&
+		(retire || !v.gone && v.known) && !c.oversize(m.batch) && !m.batch.busy && c.now >= m.batch.next
+}
+
 // InvariantBroken is the text of the log line that tells of a broken invariant.
 const InvariantBroken = "invariant broken"
 
--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -389,13 +389,6 @@
 	return c.letMachinesGo(ready, r)
 }
 
-// releasable: nothing is on the machine, and nothing that could come.
-func (c *Core) releasable(m *machine, retire bool) bool {
-	v := m.v
-	return !v.releasing && !v.orderBusy && v.unclear == 0 && (v.settled || v.gone) && v.empty() &&
-		(retire || !v.gone && v.known) && !c.oversize(m.batch) && !m.batch.busy && c.now >= m.batch.next
-}
-
 // letMachinesGo writes the records by which machines move or retire, as many in
 // one transaction as it takes.
 func (c *Core) letMachinesGo(ms []*machine, r peer.Release) bool {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -331,21 +331,12 @@
 	if m.returned {
 		return false
 	}
-	if !v.gone && (v.known || v.doubt) {
-		bound := max(v.settledAt, v.answered) + c.bounds.WorkerGone
-		if !v.settled {
-			bound = max(s.freeAt, v.answered+c.bounds.WorkerGone, v.settledAt+c.bounds.WorkerGone)
-		}
-		// Once another node could own the share, it may have answered the machine
-		// and so renewed its lease (ran_twice in the grown simulation: a node that
-		// had lost the state service and its peers, but not its workers).
-		if c.now >= bound && c.canAnswer() {
-			c.freeAll(m, "its lease has run out", false)
-			v.gone, v.settled, v.doubt = true, false, false
-			v.reach = reach{}
-			c.touch(m)
-			c.placementDue = true
-		}
+	if c.mayFree(s, m) {
+		c.freeAll(m, "its lease has run out", false)
+		v.gone, v.settled, v.doubt = true, false, false
+		v.reach = reach{}
+		c.touch(m)
+		c.placementDue = true
 	}
 	if !v.settled {
 		c.settleMachine(s, m)
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -76,32 +76,6 @@
 	o.contact = -micros.Never
 }
 
-// canAnswer: may this node speak for its shares from memory, and record?
-func (c *Core) canAnswer() bool {
-	return c.own.lease != 0 && c.now < c.own.renewed+c.bounds.Answer
-}
-
-// canCommand: may it answer reports and command machines?
-func (c *Core) canCommand() bool {
-	return c.own.lease != 0 && c.now < c.own.renewed+c.bounds.Command
-}
-
-// mayStart: no other node can have told a user of a cancellation that this one does
-// not know of. Beyond the lease that is so only while every other controller says that
-// it has lost the state service too: a successor may have told, and what it tells on
-// may be under way.
-func (c *Core) mayStart() bool {
-	if c.canAnswer() {
-		return true
-	}
-	for _, p := range c.peers {
-		if !c.alive(p) || p.stateOK {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *Core) isMine(r *role) bool {
 	return r.mark != 0 && c.own.lease != 0 && r.rec.Label == c.cfg.Label && r.rec.Incarnation == c.own.lease
 }
@@ -130,10 +104,6 @@
 	return n
 }
 
-func (c *Core) leading() bool {
-	return c.isMine(&c.own.leader) && c.own.leader.mark != c.own.stepped && c.canAnswer()
-}
-
 func (c *Core) maintainOwnership() {
 	o := &c.own
 	switch {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -129,12 +129,6 @@
 	})
 }
 
-// speaksFor: this node may tell of an open job from memory.
-func (c *Core) speaksFor(j *job) bool {
-	s := c.acting(j.share)
-	return j.run != nil && s != nil && c.canAnswer() && (s.current || j.run.fresh)
-}
-
 func (c *Core) askPeer(p *peerView, ask peer.Ask, timeout micros.Micros, done func(peer.Answer)) {
 	c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Ask: &ask}, Timeout: timeout}, func(r Result) {
 		resp, ok := r.Body.(*peer.Response)
