--- a/internal/server/address_test.go
+++ b/internal/server/address_test.go
@@ -1,8 +1,12 @@
 package server
 
 import (
+	"context"
+	"io"
+	"log/slog"
 	"net"
 	"testing"
+	"time"
 )
 
 // An address is free unless somebody listens there, and the look leaves nothing that
@@ -44,3 +48,39 @@
 		t.Error("an address on which somebody listens counts as free")
 	}
 }
+
+// A server begins on the address of one that has just ended with connections open: what is
+// left of these holds the address for a minute, and a controller that was killed could not
+// come back before (found by the soak).
+func TestBeginsAgainAtOnce(t *testing.T) {
+	addr := freeAddr(t)
+	for range 2 {
+		s := New(Config{
+			Addrs: []string{addr}, MaxConns: 10, MaxBody: []int{1000}, MaxHeld: 10_000, Half: time.Hour, Idle: time.Hour,
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Now: time.Now,
+			Handler: func(r Request) { r.Reply().Send(Answer{Status: 200}) },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Run(ctx) }()
+		var client net.Conn
+		for client == nil {
+			select {
+			case err := <-ended:
+				t.Fatalf("does not begin: %v", err)
+			default:
+				if c, err := net.Dial("tcp4", addr); err == nil {
+					client = c
+				}
+			}
+		}
+		defer client.Close()
+		if resp := ask(t, client, "/a"); resp.StatusCode != 200 {
+			t.Errorf("status %d", resp.StatusCode)
+		}
+		cancel() // the server closes first
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -198,7 +198,7 @@
 	for failures := 0; ; {
 		began := s.cfg.Now()
 		s.reset()
-		err := gnet.Rotate(s, addrs, gnet.WithReusePort(true), gnet.WithNumEventLoop(1), gnet.WithTicker(true),
+		err := gnet.Rotate(s, addrs, gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1), gnet.WithTicker(true),
 			gnet.WithLogger(logger{s.cfg.Log}))
 		if s.stop.Load() {
 			return nil
