A soak of real processes: controllers by the built program, users who cancel, the checker of what they saw

Change: the cluster on loopback can run its controllers as processes, with links between them that can be cut, a state service that refuses, is late or loses answers by controller, machines that hang, hear nothing or reach nobody; go run ./internal/measure soak draws troubles from a seed, which can be printed, played again and cut down.

--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -3,6 +3,7 @@
 //
 //	go run ./internal/measure grants --seeds 50 --grants 2000
 //	go run ./internal/measure quota --seed 1
+//	go run ./internal/measure soak --seeds 50 --first 1
 package main
 
 import (
@@ -17,6 +18,7 @@
 type arguments struct {
 	Grants  grantsCommand  `cmd:"" help:"Concurrent grants of real controllers on loopback, checked for overshoots."`
 	Cluster clusterCommand `cmd:"" help:"Run controllers on loopback for a while, to try the command line on."`
+	Soak    soakCommand    `cmd:"" help:"Real processes on loopback, through troubles, with users who cancel."`
 	Quota   quotaCommand   `cmd:"" help:"Three ways to keep a limit across controllers, simulated."`
 }
 
--- /dev/null
+++ b/internal/measure/soak.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"garnethitch/internal/standin"
+)
+
+// soakCommand plays soaks of real processes.
+type soakCommand struct {
+	Seeds    int     `default:"50" help:"How many seeds."`
+	First    uint64  `default:"1" help:"The first seed."`
+	Seed     uint64  `help:"Play this seed alone."`
+	Workers  int     `default:"60" help:"Workers, all in this process."`
+	Minutes  float64 `default:"1" help:"How long each seed is played."`
+	Parallel int     `default:"2" help:"Seeds played at a time."`
+	Nodes    int     `help:"Controllers; 0: 2, 3 and 5 in turn."`
+	Only     []int   `help:"Play only the troubles of these numbers."`
+	Dir      string  `default:"target/soak" help:"For the binary, settings and logs."`
+	Binary   string  `type:"existingfile" help:"A controller's program; left out, it is built."`
+	Plan     bool    `help:"Print the troubles and stop."`
+}
+
+// Run plays the seeds; a break is an error.
+func (s *soakCommand) Run() error {
+	seeds := []uint64{s.Seed}
+	if s.Seed == 0 {
+		seeds = nil
+		for i := range s.Seeds {
+			seeds = append(seeds, s.First+uint64(i))
+		}
+	}
+	if s.Plan {
+		for _, seed := range seeds {
+			for i, t := range s.plan(seed).Troubles() {
+				fmt.Printf("seed %d, trouble %d: %s\n", seed, i, t)
+			}
+		}
+		return nil
+	}
+	if err := s.build(); err != nil {
+		return err
+	}
+	type outcome struct {
+		seed uint64
+		standin.SoakResult
+		err error
+	}
+	todo, done := make(chan uint64), make(chan outcome)
+	for range max(s.Parallel, 1) {
+		go func() {
+			for seed := range todo {
+				r, err := s.play(seed)
+				done <- outcome{seed, r, err}
+			}
+		}()
+	}
+	go func() {
+		for _, seed := range seeds {
+			todo <- seed
+		}
+		close(todo)
+	}()
+	breaks, cancelled, tasks := 0, 0, 0
+	for range seeds {
+		o := <-done
+		if o.err != nil {
+			return fmt.Errorf("seed %d: %w", o.seed, o.err)
+		}
+		fmt.Printf("seed %d, %d controllers: %s\n", o.seed, s.plan(o.seed).Nodes, o.SoakResult)
+		for _, line := range o.Broken {
+			fmt.Printf("seed %d: %s\n", o.seed, line)
+		}
+		breaks += len(o.Broken)
+		cancelled += o.Cancelled
+		tasks += o.Tasks
+	}
+	fmt.Printf("%d seeds of %.1f minutes, %d workers: %d jobs called cancelled, %d tasks started, %d breaks; logs in %s\n", len(seeds), s.Minutes, s.Workers, cancelled, tasks, breaks, s.Dir)
+	if breaks > 0 {
+		return fmt.Errorf("%d breaks", breaks)
+	}
+	return nil
+}
+
+// plan is what a seed is played with.
+func (s *soakCommand) plan(seed uint64) standin.SoakPlan {
+	nodes := s.Nodes
+	if nodes == 0 {
+		nodes = []int{3, 2, 5}[seed%3]
+	}
+	return standin.SoakPlan{Seed: seed, Nodes: nodes, Workers: s.Workers, Length: time.Duration(s.Minutes * float64(time.Minute)),
+		Binary: s.Binary, Dir: filepath.Join(s.Dir, fmt.Sprintf("seed-%d", seed)), Only: s.Only}
+}
+
+// play plays one seed; what an earlier play left in its directory goes.
+func (s *soakCommand) play(seed uint64) (standin.SoakResult, error) {
+	p := s.plan(seed)
+	if err := os.RemoveAll(p.Dir); err != nil {
+		return standin.SoakResult{}, err
+	}
+	if err := os.MkdirAll(p.Dir, 0o755); err != nil {
+		return standin.SoakResult{}, err
+	}
+	return standin.PlaySoak(p)
+}
+
+// build builds the program that is to be tried, unless one was named.
+func (s *soakCommand) build() error {
+	if s.Binary != "" {
+		return nil
+	}
+	dir, err := filepath.Abs(s.Dir)
+	if err != nil {
+		return err
+	}
+	s.Binary = filepath.Join(dir, "garnethitch")
+	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", s.Binary, "./cmd/garnethitch").CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w: %s", err, out)
+	}
+	return nil
+}
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -40,6 +41,10 @@
 	rng     *rand.Rand
 	history []HistoryEvent
 	jobs    int
+	stays   stays
+	links   []*cuttable // between controllers that are processes
+	// problems are what went wrong beside the rules.
+	problems []string
 }
 
 // ClusterPlan says what a cluster is made of.
@@ -51,6 +56,29 @@
 	Groups   []quota.GroupOptions
 	// LostAnswers is the part of the state service's answers that get lost.
 	LostAnswers float64
+	// Binary has each controller run as a process of its own, that of this file, with its
+	// settings and its log in Dir. The controllers then reach each other through links that
+	// can be cut. Empty: they run in this process.
+	Binary, Dir string
+	// Times are the intervals of workers and tasks.
+	Times ClusterTimes
+}
+
+// ClusterTimes are the intervals of a cluster's workers; zero values are filled in.
+type ClusterTimes struct {
+	Report, WorkerLease, Cancel, ControllerLease time.Duration
+	// TaskFrom and TaskTo are how long a task runs.
+	TaskFrom, TaskTo time.Duration
+}
+
+// fill sets what was left out.
+func (t *ClusterTimes) fill() {
+	t.Report = cmp.Or(t.Report, 400*time.Millisecond)
+	t.WorkerLease = cmp.Or(t.WorkerLease, 3*time.Second)
+	t.Cancel = cmp.Or(t.Cancel, 10*time.Second)
+	t.ControllerLease = cmp.Or(t.ControllerLease, time.Second)
+	t.TaskFrom = cmp.Or(t.TaskFrom, 40*time.Millisecond)
+	t.TaskTo = cmp.Or(t.TaskTo, 120*time.Millisecond)
 }
 
 // HistoryEvent is a task's start or end, or a limit that came into force.
@@ -72,10 +100,13 @@
 	cancel   context.CancelFunc
 	ended    chan struct{}
 	cutUntil time.Time // from the state service; guarded by the cluster's lock
+	faults   stateFaults
+	process  *controllerProcess // where controllers are processes
 }
 
 // NewCluster starts a cluster; Close ends it.
 func NewCluster(p ClusterPlan) (*Cluster, error) {
+	p.Times.fill()
 	c := &Cluster{number: clusters.Add(1), plan: p, rng: rand.New(rand.NewPCG(p.Seed, 5)), byHost: map[string]*clusterMachine{}}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.world = &World{sim: base(Plan{Seed: p.Seed, Nodes: p.Nodes}), began: time.Now(), byHost: map[string]*worldMachine{}}
@@ -111,7 +142,7 @@
 	}
 	for _, m := range c.machines {
 		for _, n := range c.nodes {
-			m.links = append(m.links, &link{addr: n.set.ServeOn})
+			m.links = append(m.links, &link{addr: n.set.ServeOn, timeout: answerTimeout})
 		}
 		m.node = c.draw(len(c.nodes))
 		c.wait.Add(1)
@@ -148,11 +179,12 @@
 		n.set.ServeOn, n.set.InternalAddr = c.ownAddress(i, 0), c.ownAddress(i, 1)
 		cl := &n.set.Cluster
 		cl.Nodes, cl.Teams, cl.Zones = c.plan.Nodes, teams, zones[:]
-		cl.Workers = config.Workers{ReportS: clusterReport.Seconds(), LeaseS: clusterLease.Seconds(), CancelS: 10}
+		times := c.plan.Times
+		cl.Workers = config.Workers{ReportS: times.Report.Seconds(), LeaseS: times.WorkerLease.Seconds(), CancelS: times.Cancel.Seconds()}
 		cl.State = config.StateLimits{RPS: 2000, WriteRPS: 400, ValueKB: 8, TxnOps: 8}
 		cl.Cloud = config.CloudLimits{RPS: 10, ListLagS: 0.2}
 		cl.Resources = config.Resources{CoreShare: 0.5, RAMMB: 128, Sockets: 1024}
-		n.opt.LeaseMS = 1000
+		n.opt.LeaseMS = c.plan.Times.ControllerLease.Milliseconds()
 		n.opt.Quota.Groups = c.plan.Groups
 		if err := n.opt.CheckQuota("plan", n.set); err != nil {
 			return err
@@ -162,7 +194,11 @@
 	for _, n := range c.nodes {
 		for _, o := range c.nodes {
 			if o != n {
-				n.set.Seeds = append(n.set.Seeds, config.Seed{Label: o.set.Label, Address: o.set.InternalAddr})
+				address, err := c.addressFor(n, o)
+				if err != nil {
+					return err
+				}
+				n.set.Seeds = append(n.set.Seeds, config.Seed{Label: o.set.Label, Address: address})
 			}
 		}
 	}
@@ -270,6 +306,10 @@
 	if n.cancel != nil || n.cluster.ctx.Err() != nil {
 		return
 	}
+	if n.cluster.plan.Binary != "" {
+		n.startProcess()
+		return
+	}
 	ctx, cancel := context.WithCancel(n.cluster.ctx)
 	n.cancel, n.ended = cancel, make(chan struct{})
 	seed, ended := n.cluster.rng.Uint64(), n.ended
@@ -284,7 +324,18 @@
 	}()
 }
 
+// problem notes what went wrong.
+func (c *Cluster) problem(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.problems = append(c.problems, fmt.Sprintf(format, args...))
+}
+
 func (n *clusterNode) end() {
+	if n.process != nil {
+		n.process.kill()
+		return
+	}
 	n.cluster.mu.Lock()
 	cancel, ended := n.cancel, n.ended
 	n.cancel = nil
@@ -301,6 +352,9 @@
 	c.mu.Lock()
 	cut := time.Until(n.cutUntil)
 	c.mu.Unlock()
+	if n.faultyState(rw, r) {
+		return
+	}
 	lose := c.plan.LostAnswers > 0 && strings.HasSuffix(r.URL.Path, "/multi") && c.chance(c.plan.LostAnswers)
 	if cut > 0 {
 		if !c.chance(0.3) || !c.pause(cut) {
--- a/internal/standin/cluster_machine.go
+++ b/internal/standin/cluster_machine.go
@@ -22,18 +22,16 @@
 	answeredAt   time.Time // when the last answered report was sent
 	tasks        []clusterTask
 	wake         chan struct{}
+	faults       machineFaults
 }
 
 type clusterTask struct {
 	wire.TaskReport
 	team string
+	stay *Stay // where stays are recorded
 }
 
-const (
-	clusterReport = 400 * time.Millisecond
-	clusterLease  = 3 * time.Second
-	clusterCPUs   = 4
-)
+const clusterCPUs = 4
 
 // serveWorker is a machine's side of orders and questions.
 func (c *Cluster) serveWorker(rw http.ResponseWriter, r *http.Request) {
@@ -43,7 +41,11 @@
 		rw.WriteHeader(404)
 		return
 	}
+	if !m.awaitReachable() {
+		panic(http.ErrAbortHandler)
+	}
 	m.mu.Lock()
+	m.lapseIfOver(time.Now())
 	status := 200
 	var orders wire.Orders
 	if r.URL.Path == "/orders" {
@@ -72,24 +74,32 @@
 func (m *clusterMachine) run() {
 	defer m.cluster.wait.Done()
 	for m.cluster.ctx.Err() == nil {
+		m.awaitAwake()
 		m.mu.Lock()
 		sent := time.Now()
-		if sent.Sub(m.answeredAt) > clusterLease {
-			m.lapse()
-		}
+		m.lapseIfOver(sent)
 		rep := m.report()
 		m.mu.Unlock()
 		m.checkin(rep, sent)
 		select {
 		case <-m.wake:
-		case <-time.After(clusterReport):
+		case <-time.After(m.cluster.plan.Times.Report):
 		case <-m.cluster.ctx.Done():
 		}
 	}
 }
 
+// lapseIfOver ends the session once the lease has run out; the machine's lock is held.
+func (m *clusterMachine) lapseIfOver(now time.Time) {
+	if now.Sub(m.answeredAt) > m.cluster.plan.Times.WorkerLease {
+		m.lapse()
+	}
+}
+
 func (m *clusterMachine) lapse() {
+	over := m.answeredAt.Add(m.cluster.plan.Times.WorkerLease)
 	for i := range m.tasks {
+		m.cluster.stays.end(m.tasks[i].stay, over) // also where it hung, and tells later
 		m.ends(i, "")
 	}
 	m.tasks, m.answeredAt = nil, time.Now()
@@ -101,7 +111,17 @@
 	if err != nil {
 		return
 	}
+	if m.mute() {
+		m.node = (m.node + 1) % len(m.links)
+		m.cluster.pause(100 * time.Millisecond)
+		return
+	}
+	m.copyLater(body)
 	msg, err := m.links[m.node].do("POST", "/checkin", body)
+	m.awaitAwake()
+	if m.deaf() || time.Since(sent) > answerTimeout {
+		return // the answer is lost, or too late
+	}
 	var answer wire.ReportAnswer
 	if err != nil || msg.Status != 200 || wire.Decode(msg.Body, &answer) != nil {
 		next := (m.node + 1) % len(m.links)
@@ -119,6 +139,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.lapseIfOver(time.Now())
 	if answer.Token < m.token || rep.Session != m.session {
 		return
 	}
@@ -158,8 +179,11 @@
 	}
 	m.tasks = append(m.tasks, t)
 	m.cluster.note(HistoryEvent{Team: t.team, CPUs: 1})
-	session := m.session
-	time.AfterFunc(time.Duration(40+m.cluster.draw(80))*time.Millisecond, func() {
+	m.tasks[len(m.tasks)-1].stay = m.cluster.stays.begin(c.Task, m.id)
+	session, times := m.session, m.cluster.plan.Times
+	runs := times.TaskFrom + time.Duration(m.cluster.draw(int(max((times.TaskTo-times.TaskFrom).Milliseconds(), 1))))*time.Millisecond
+	time.AfterFunc(runs, func() {
+		m.awaitAwake()
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		at := slices.IndexFunc(m.tasks, func(t clusterTask) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
@@ -181,4 +205,5 @@
 	}
 	t.State, t.Why = wire.TaskExited, why
 	m.cluster.note(HistoryEvent{Team: t.team, CPUs: -1})
+	m.cluster.stays.end(t.stay, time.Now())
 }
--- /dev/null
+++ b/internal/standin/soak.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"garnethitch/internal/wire"
+)
+
+// A soak runs controllers as real processes beside users who cancel, ask and repeat all the
+// time, through troubles drawn from a seed. Its checker reads only what workers and users saw.
+
+// SoakPlan says what a soak is made of.
+type SoakPlan struct {
+	Seed    uint64
+	Nodes   int
+	Workers int
+	Length  time.Duration
+	Binary  string
+	Dir     string // for settings and logs
+	// Only, if not empty, are the numbers of the troubles that are played.
+	Only []int
+}
+
+// SoakResult is what came about.
+type SoakResult struct {
+	Jobs, Cancelled, Tasks, Answers int
+	Troubles                        int
+	Broken                          []string
+}
+
+func (r SoakResult) String() string {
+	return fmt.Sprintf("%d jobs, %d called cancelled, %d tasks started, %d answers to users, %d troubles, %d breaks", r.Jobs, r.Cancelled, r.Tasks, r.Answers, r.Troubles, len(r.Broken))
+}
+
+// SoakTimes keep about the proportions of the real settings (leases of 4 and 45 s, 70 s to
+// cancel, a report every 10 s), with the fixed margin of 3 s that the bounds take.
+func SoakTimes() ClusterTimes {
+	return ClusterTimes{
+		Report: time.Second, WorkerLease: 6 * time.Second, Cancel: 13 * time.Second, ControllerLease: time.Second,
+		TaskFrom: 2 * time.Second, TaskTo: 40 * time.Second,
+	}
+}
+
+// TroubleKind is what goes wrong.
+type TroubleKind int
+
+// Kinds of troubles.
+const (
+	TroubleKill TroubleKind = iota
+	TroubleKillOwner
+	TroubleFreeze
+	TroubleCutFromState
+	TroubleRefused
+	TroubleRefusedJobs
+	TroubleLateWrites
+	TroubleLinkHeld
+	TroubleLinkReset
+	TroubleOutage
+	TroubleMachinesHang
+	TroubleMachinesDeaf
+	TroubleMachinesMute
+	TroubleLateReports
+	troubleKinds
+)
+
+var troubleNames = [troubleKinds]string{"kill", "kill owner", "freeze", "cut from state", "refused", "refused jobs", "late writes", "link held", "link reset",
+	"outage", "machines hang", "machines hear nothing", "machines reach nobody", "late reports"}
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	At, For     time.Duration
+	Kind        TroubleKind
+	Node, Other int
+	Share       float64
+}
+
+func (t Trouble) String() string {
+	return fmt.Sprintf("%5.1f s: %s, node %d, other %d, share %.2f, for %.1f s", t.At.Seconds(), troubleNames[t.Kind], t.Node, t.Other, t.Share, t.For.Seconds())
+}
+
+// Troubles draws what goes wrong, from the seed alone; two or three overlap, and owners end
+// in series.
+func (p SoakPlan) Troubles() (list []Trouble) {
+	r := rand.New(rand.NewPCG(p.Seed, 11))
+	draw := func(from, to time.Duration) time.Duration { return from + time.Duration(r.Int64N(int64(to-from))) }
+	add := func(at time.Duration, kind TroubleKind, d time.Duration) {
+		node := r.IntN(p.Nodes)
+		list = append(list, Trouble{At: at, For: d, Kind: kind, Node: node, Other: (node + 1 + r.IntN(p.Nodes-1)) % p.Nodes, Share: 0.1 + 0.4*r.Float64()})
+	}
+	calm := SoakTimes().Cancel
+	for at := 4 * time.Second; at < p.Length-calm; at += draw(time.Second, 3*time.Second) {
+		add(at, TroubleKind(r.IntN(int(troubleKinds))), draw(300*time.Millisecond, 8*time.Second))
+		if r.IntN(8) == 0 {
+			add(at, TroubleMachinesHang, draw(time.Second, 6*time.Second))
+			for i := range time.Duration(5) { // owners in series
+				add(at+i*2500*time.Millisecond, TroubleKillOwner, draw(50*time.Millisecond, 2*time.Second))
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Trouble) int { return int(a.At - b.At) })
+	return list
+}
+
+// PlaySoak plays a soak to its end.
+func PlaySoak(p SoakPlan) (SoakResult, error) {
+	c, err := NewCluster(ClusterPlan{Seed: p.Seed, Nodes: p.Nodes, Machines: p.Workers, Teams: []string{"kigali", "rubavu", "karongi"},
+		Binary: p.Binary, Dir: p.Dir, Times: SoakTimes()})
+	if err != nil {
+		return SoakResult{}, err
+	}
+	s := &soak{cluster: c, plan: p}
+	began := time.Now()
+	var users sync.WaitGroup
+	for i := range max(p.Workers/6, 6) {
+		users.Add(1)
+		go func() {
+			defer users.Done()
+			s.user(i, began.Add(p.Length-4*time.Second))
+		}()
+	}
+	played := 0
+	for i, t := range p.Troubles() {
+		if len(p.Only) > 0 && !slices.Contains(p.Only, i) {
+			continue
+		}
+		c.pause(time.Until(began.Add(t.At)))
+		c.bring(t)
+		played++
+	}
+	c.pause(time.Until(began.Add(p.Length)))
+	users.Wait()
+	c.Close()
+	return s.result(played), nil
+}
+
+// bring brings one trouble about.
+func (c *Cluster) bring(t Trouble) {
+	n := c.nodes[t.Node]
+	fault := func(set func(f *stateFaults, until time.Time)) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		set(&n.faults, time.Now().Add(t.For))
+	}
+	machines := func(of func(f *machineFaults) *time.Time) {
+		for _, m := range c.machines {
+			if c.chance(t.Share) {
+				m.faults.set(of(&m.faults), t.For)
+			}
+		}
+	}
+	switch t.Kind {
+	case TroubleKill:
+		c.End(t.Node, t.For/4)
+	case TroubleKillOwner:
+		c.End(c.mostClaims(), t.For)
+	case TroubleFreeze:
+		if n.process != nil {
+			n.process.freeze(t.For)
+		}
+	case TroubleCutFromState:
+		c.Cut(t.Node, t.For)
+	case TroubleRefused:
+		fault(func(f *stateFaults, until time.Time) { f.refuseUntil = until })
+	case TroubleRefusedJobs:
+		for _, o := range c.nodes {
+			n = o
+			fault(func(f *stateFaults, until time.Time) { f.jobsUntil = until })
+		}
+	case TroubleLateWrites:
+		fault(func(f *stateFaults, until time.Time) { f.lateUntil = until })
+	case TroubleLinkHeld, TroubleLinkReset:
+		for _, l := range c.links {
+			if l.from == t.Node && l.to == t.Other {
+				l.cut(t.Kind == TroubleLinkHeld, t.For)
+			}
+		}
+	case TroubleOutage:
+		c.world.with(func() { c.world.sim.State.downUntil = c.world.sim.now + soakMicros(t.For) })
+	case TroubleMachinesHang:
+		machines(func(f *machineFaults) *time.Time { return &f.hungUntil })
+	case TroubleMachinesDeaf:
+		machines(func(f *machineFaults) *time.Time { return &f.deafUntil })
+	case TroubleMachinesMute:
+		machines(func(f *machineFaults) *time.Time { return &f.mutedUntil })
+	case TroubleLateReports:
+		machines(func(f *machineFaults) *time.Time { return &f.copies })
+	}
+}
+
+// mostClaims is the controller that holds the most duties by the state service.
+func (c *Cluster) mostClaims() (node int) {
+	holds := map[string]int{}
+	c.world.with(func() {
+		for key, e := range c.world.sim.State.keys {
+			var rec wire.OwnerRecord
+			if isDuty(key) && wire.Decode(e.value, &rec) == nil {
+				holds[rec.Label]++
+			}
+		}
+	})
+	for i, n := range c.nodes {
+		if holds[n.set.Label] > holds[c.nodes[node].set.Label] {
+			node = i
+		}
+	}
+	return node
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -46,19 +46,26 @@
 
 // link is a kept connection to the controller.
 type link struct {
-	addr string
-	c    net.Conn
-	buf  []byte
+	addr    string
+	c       net.Conn
+	buf     []byte
+	timeout time.Duration // for a whole request; 0: none
 }
 
 func (l *link) do(method, path string, body []byte) (http1.Message, error) {
 	if l.c == nil {
-		c, err := net.Dial("tcp4", l.addr)
+		c, err := net.DialTimeout("tcp4", l.addr, l.timeout)
 		if err != nil {
 			return http1.Message{}, err
 		}
 		l.c = c
 	}
+	if l.timeout > 0 {
+		if err := l.c.SetDeadline(time.Now().Add(l.timeout)); err != nil {
+			l.drop()
+			return http1.Message{}, err
+		}
+	}
 	if _, err := l.c.Write(http1.AppendRequest(nil, method, path, l.addr, "application/cbor", body)); err != nil {
 		l.drop()
 		return http1.Message{}, err
