--- a/internal/core/cancelled_test.go
+++ b/internal/core/cancelled_test.go
@@ -18,16 +18,13 @@
 func TestCancelledTaskAcrossTakeovers(t *testing.T) {
 	h := meet(t, withPeer)
 	token, attempt := h.runOne()
-	w := slowWorker{h: h, token: token, attempt: attempt, seq: 100, leaseEnds: h.now + h.c.cfg.WorkerLease}
+	w := newSlowWorker(h, token, attempt)
 	if a := h.withdraw("job-000001"); a.Status != 200 {
 		t.Fatalf("withdrawal answered %d", a.Status)
 	}
 	told := h.now
 	for w.alive() {
-		if h.now > told+h.c.cfg.Cancel {
-			t.Fatalf("the task is still on its machine %v s after its user was told, and its lease ends in %v s",
-				(h.now - told).Seconds(), (w.leaseEnds - h.now).Seconds())
-		}
+		w.checkInTime(told)
 		h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}}) // the owner ends, the next one claims
 		h.run(3 * sec)
 		w.report()
@@ -45,8 +42,20 @@
 	leaseEnds      micros.Micros
 }
 
+func newSlowWorker(h *harness, token, attempt uint64) slowWorker {
+	return slowWorker{h: h, token: token, attempt: attempt, seq: 100, leaseEnds: h.now + h.c.cfg.WorkerLease}
+}
+
 func (w *slowWorker) alive() bool { return !w.stopped && w.h.now < w.leaseEnds }
 
+// checkInTime: the time of a cancellation that was told then is not over while the task is there.
+func (w *slowWorker) checkInTime(told micros.Micros) {
+	w.h.t.Helper()
+	if now := w.h.now; now > told+w.h.c.cfg.Cancel {
+		w.h.t.Fatalf("the task is still on its machine %v s after its user was told, and its lease ends in %v s", (now - told).Seconds(), (w.leaseEnds - now).Seconds())
+	}
+}
+
 // report sends a report, and does what the answer says.
 func (w *slowWorker) report() {
 	w.seq++
@@ -71,7 +80,7 @@
 		c.Cancel = 40 * sec
 	})
 	token, attempt := h.runOne()
-	w := slowWorker{h: h, token: token, attempt: attempt, seq: 100, leaseEnds: h.now + h.c.cfg.WorkerLease}
+	w := newSlowWorker(h, token, attempt)
 	h.watchBlocked = wire.PrefixJob
 	h.unlisted = wire.PrefixJob
 	h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99})
@@ -82,10 +91,7 @@
 		for until := h.now + 8*sec; h.now < until && w.alive(); {
 			h.run(sec)
 			w.report()
-			if h.now > told+h.c.cfg.Cancel {
-				t.Fatalf("the task is still on its machine %v s after its user was told, and its lease ends in %v s",
-					(h.now - told).Seconds(), (w.leaseEnds - h.now).Seconds())
-			}
+			w.checkInTime(told)
 		}
 	}
 }
@@ -102,7 +108,7 @@
 		c.FinalJobs, c.Cancel = 1, 40*sec
 	})
 	token, attempt := h.runOne()
-	w := slowWorker{h: h, token: token, attempt: attempt, seq: 100, leaseEnds: h.now + h.c.cfg.WorkerLease}
+	w := newSlowWorker(h, token, attempt)
 	h.withdraw("job-000001")
 	told := h.now
 	h.put(wire.JobKey("job-000002"), wire.JobRecord{State: wire.StateDone, Tasks: 1})
@@ -111,10 +117,7 @@
 	for w.alive() {
 		h.run(sec)
 		w.report()
-		if h.now > told+h.c.cfg.Cancel {
-			t.Fatalf("the task is still on its machine %v s after its user was told, and its lease ends in %v s",
-				(h.now - told).Seconds(), (w.leaseEnds - h.now).Seconds())
-		}
+		w.checkInTime(told)
 	}
 }
 
--- a/internal/measure/grants.go
+++ b/internal/measure/grants.go
@@ -18,49 +18,30 @@
 
 // Run plays the seeds; an overshoot is an error.
 func (g *grantsCommand) Run() error {
-	type outcome struct {
-		seed uint64
-		standin.GrantsResult
-		err error
+	play := func(seed uint64) (standin.GrantsResult, error) {
+		return standin.PlayGrants(standin.GrantsPlan{Seed: seed, Nodes: []int{3, 2, 5}[seed%3], Grants: g.Grants, Most: 3 * time.Minute, Troubles: !g.Calm})
 	}
-	todo, done := make(chan uint64), make(chan outcome)
-	for range g.Parallel {
-		go func() {
-			for seed := range todo {
-				plan := standin.GrantsPlan{Seed: seed, Nodes: []int{3, 2, 5}[seed%3], Grants: g.Grants, Most: 3 * time.Minute, Troubles: !g.Calm}
-				r, err := standin.PlayGrants(plan)
-				done <- outcome{seed, r, err}
-			}
-		}()
-	}
-	go func() {
-		for i := range g.Seeds {
-			todo <- g.Seed + uint64(i)
-		}
-		close(todo)
-	}()
 	var sum standin.GrantsResult
 	var rates, inForce []float64
-	for range g.Seeds {
-		o := <-done
-		if o.err != nil {
-			return fmt.Errorf("seed %d: %w", o.seed, o.err)
-		}
-		fmt.Printf("seed %d: %s\n", o.seed, o.GrantsResult)
-		for _, line := range o.Overshoots {
-			fmt.Printf("seed %d: overshoot: %s\n", o.seed, line)
+	err := playSeeds(seedsFrom(g.Seed, g.Seeds), g.Parallel, play, func(seed uint64, r standin.GrantsResult) {
+		fmt.Printf("seed %d: %s\n", seed, r)
+		for _, line := range r.Overshoots {
+			fmt.Printf("seed %d: overshoot: %s\n", seed, line)
 		}
-		sum.Grants += o.Grants
-		sum.Writes += o.Writes
-		sum.LimitsSet += o.LimitsSet
-		sum.Ends += o.Ends
-		sum.Cuts += o.Cuts
-		sum.Took += o.Took
-		sum.Overshoots = append(sum.Overshoots, o.Overshoots...)
-		rates = append(rates, float64(o.Grants)/o.Took.Seconds())
-		for _, d := range o.ToInForce {
+		sum.Grants += r.Grants
+		sum.Writes += r.Writes
+		sum.LimitsSet += r.LimitsSet
+		sum.Ends += r.Ends
+		sum.Cuts += r.Cuts
+		sum.Took += r.Took
+		sum.Overshoots = append(sum.Overshoots, r.Overshoots...)
+		rates = append(rates, float64(r.Grants)/r.Took.Seconds())
+		for _, d := range r.ToInForce {
 			inForce = append(inForce, d.Seconds())
 		}
+	})
+	if err != nil {
+		return err
 	}
 	fmt.Printf("all: %s\n", sum)
 	fmt.Printf("grants a second, by seed: %s\n", figuresOf(rates))
--- /dev/null
+++ b/internal/measure/seeds.go
@@ -0,0 +1,42 @@
+package main
+
+import "fmt"
+
+// seedsFrom lists a number of seeds.
+func seedsFrom(first uint64, count int) (seeds []uint64) {
+	for i := range count {
+		seeds = append(seeds, first+uint64(i))
+	}
+	return seeds
+}
+
+// playSeeds plays seeds, so many at a time, and hands each result on as it comes. The first
+// error ends it.
+func playSeeds[T any](seeds []uint64, parallel int, play func(seed uint64) (T, error), each func(seed uint64, result T)) error {
+	type outcome struct {
+		seed   uint64
+		result T
+		err    error
+	}
+	todo, done := make(chan uint64, len(seeds)), make(chan outcome, len(seeds))
+	for _, seed := range seeds {
+		todo <- seed
+	}
+	close(todo)
+	for range max(parallel, 1) {
+		go func() {
+			for seed := range todo {
+				result, err := play(seed)
+				done <- outcome{seed, result, err}
+			}
+		}()
+	}
+	for range seeds {
+		o := <-done
+		if o.err != nil {
+			return fmt.Errorf("seed %d: %w", o.seed, o.err)
+		}
+		each(o.seed, o.result)
+	}
+	return nil
+}
--- a/internal/measure/soak.go
+++ b/internal/measure/soak.go
@@ -29,10 +29,7 @@
 func (s *soakCommand) Run() error {
 	seeds := []uint64{s.Seed}
 	if s.Seed == 0 {
-		seeds = nil
-		for i := range s.Seeds {
-			seeds = append(seeds, s.First+uint64(i))
-		}
+		seeds = seedsFrom(s.First, s.Seeds)
 	}
 	if s.Plan {
 		for _, seed := range seeds {
@@ -45,39 +42,18 @@
 	if err := s.build(); err != nil {
 		return err
 	}
-	type outcome struct {
-		seed uint64
-		standin.SoakResult
-		err error
-	}
-	todo, done := make(chan uint64), make(chan outcome)
-	for range max(s.Parallel, 1) {
-		go func() {
-			for seed := range todo {
-				r, err := s.play(seed)
-				done <- outcome{seed, r, err}
-			}
-		}()
-	}
-	go func() {
-		for _, seed := range seeds {
-			todo <- seed
-		}
-		close(todo)
-	}()
 	breaks, cancelled, tasks := 0, 0, 0
-	for range seeds {
-		o := <-done
-		if o.err != nil {
-			return fmt.Errorf("seed %d: %w", o.seed, o.err)
-		}
-		fmt.Printf("seed %d, %d controllers: %s\n", o.seed, s.plan(o.seed).Nodes, o.SoakResult)
-		for _, line := range o.Broken {
-			fmt.Printf("seed %d: %s\n", o.seed, line)
+	err := playSeeds(seeds, s.Parallel, s.play, func(seed uint64, r standin.SoakResult) {
+		fmt.Printf("seed %d, %d controllers: %s\n", seed, s.plan(seed).Nodes, r)
+		for _, line := range r.Broken {
+			fmt.Printf("seed %d: %s\n", seed, line)
 		}
-		breaks += len(o.Broken)
-		cancelled += o.Cancelled
-		tasks += o.Tasks
+		breaks += len(r.Broken)
+		cancelled += r.Cancelled
+		tasks += r.Tasks
+	})
+	if err != nil {
+		return err
 	}
 	fmt.Printf("%d seeds of %.1f minutes, %d workers: %d jobs called cancelled, %d tasks started, %d breaks; logs in %s\n", len(seeds), s.Minutes, s.Workers, cancelled, tasks, breaks, s.Dir)
 	if breaks > 0 {
--- a/internal/standin/cluster_machine.go
+++ b/internal/standin/cluster_machine.go
@@ -186,6 +186,7 @@
 		m.awaitAwake()
 		m.mu.Lock()
 		defer m.mu.Unlock()
+		m.lapseIfOver(time.Now()) // nothing is completed after the lease
 		at := slices.IndexFunc(m.tasks, func(t clusterTask) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
 		if m.session == session && at >= 0 {
 			m.ends(at, wire.WhyDone)
