--- a/internal/core/cancelled_test.go
+++ b/internal/core/cancelled_test.go
@@ -141,3 +141,19 @@
 		t.Errorf("commands %v, want the task stopped", body.Commands)
 	}
 }
+
+// The answer to a report holds a list of commands, also where there are none.
+func TestAnswerHoldsList(t *testing.T) {
+	h := meet(t, withPeer)
+	token := h.settle("vm-1")
+	for _, settled := range []bool{true, false} {
+		if !settled {
+			h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
+			h.run(2 * sec)
+		}
+		status, body := h.checkin(report("vm-1", 1, 50+uint64(h.now/sec), token))
+		if status != 200 || body.Commands == nil || len(body.Commands) > 0 {
+			t.Errorf("settled %v: answered %d with %#v, want an empty list", settled, status, body.Commands)
+		}
+	}
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -154,8 +154,11 @@
 	if v.settled {
 		c.placeOn(s, m) // what it is to do goes into the answer, not into an order
 	}
-	commands := c.stopsBefore(m, rep)
-	commands = append(commands, c.commands(m, true)...)
+	stops := c.stopsBefore(m, rep)
+	commands := c.commands(m, true)
+	if len(stops) > 0 {
+		commands = append(commands, stops...) // which is empty: the list is not believed yet
+	}
 	c.checkRenewal(m)
 	v.reach.answered(c.token(s, m), v.token, commands)
 	c.logReport(m, rep, allow(reasonAnswered), commands)
