The soak has machines that are heard about once in a lease while owners end in series

Change: a trouble that keeps orders from a machine and lets it be heard seldom, drawn with series of ends of owners; a worker that is sent to another controller reports there at once, as the protocol says.

--- a/internal/standin/cluster_faults.go
+++ b/internal/standin/cluster_faults.go
@@ -19,6 +19,21 @@
 	mu                               sync.Mutex
 	hungUntil, deafUntil, mutedUntil time.Time
 	copies                           time.Time // until then copies of its reports come late
+	// seldomUntil: until then no order reaches it, and after each answer to a report nothing
+	// does for seldomEvery, so that it is heard about once in a lease.
+	seldomUntil time.Time
+}
+
+// seldomEvery is less than a worker's lease in a soak.
+const seldomEvery = 3500 * time.Millisecond
+
+// heardNow notes that a report was answered.
+func (f *machineFaults) heardNow() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := time.Now(); now.Before(f.seldomUntil) {
+		f.mutedUntil, f.deafUntil = now.Add(seldomEvery), now.Add(seldomEvery)
+	}
 }
 
 func (f *machineFaults) until(t *time.Time) time.Duration {
@@ -47,7 +62,7 @@
 // whether the request arrives.
 func (m *clusterMachine) awaitReachable() bool {
 	m.awaitAwake()
-	return !m.deaf()
+	return !m.deaf() && m.faults.until(&m.faults.seldomUntil) <= 0
 }
 
 func (m *clusterMachine) deaf() bool { return m.faults.until(&m.faults.deafUntil) > 0 }
--- a/internal/standin/cluster_machine.go
+++ b/internal/standin/cluster_machine.go
@@ -130,6 +130,7 @@
 			for i, n := range m.cluster.nodes {
 				if n.set.Label == to.ReportTo {
 					next = i
+					m.reportSoon() // sent to it, it reports at once
 				}
 			}
 		}
@@ -144,6 +145,7 @@
 		return
 	}
 	m.answeredAt = sent
+	m.faults.heardNow()
 	m.obey(answer.Token, answer.Commands)
 }
 
@@ -190,14 +192,19 @@
 		at := slices.IndexFunc(m.tasks, func(t clusterTask) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
 		if m.session == session && at >= 0 {
 			m.ends(at, wire.WhyDone)
-			select {
-			case m.wake <- struct{}{}:
-			default:
-			}
+			m.reportSoon()
 		}
 	})
 }
 
+// reportSoon has the next report not wait for its time.
+func (m *clusterMachine) reportSoon() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
 // ends notes a task's end.
 func (m *clusterMachine) ends(at int, why string) {
 	t := &m.tasks[at]
--- a/internal/standin/soak.go
+++ b/internal/standin/soak.go
@@ -64,11 +64,12 @@
 	TroubleMachinesDeaf
 	TroubleMachinesMute
 	TroubleLateReports
+	TroubleMachinesSeldom
 	troubleKinds
 )
 
 var troubleNames = [troubleKinds]string{"kill", "kill owner", "freeze", "cut from state", "refused", "refused jobs", "late writes", "link held", "link reset",
-	"outage", "machines hang", "machines hear nothing", "machines reach nobody", "late reports"}
+	"outage", "machines hang", "machines hear nothing", "machines reach nobody", "late reports", "machines are heard seldom"}
 
 // Trouble is one thing that goes wrong.
 type Trouble struct {
@@ -95,12 +96,13 @@
 	for at := 4 * time.Second; at < p.Length-calm; at += draw(time.Second, 3*time.Second) {
 		add(at, TroubleKind(r.IntN(int(troubleKinds))), draw(300*time.Millisecond, 8*time.Second))
 		if r.IntN(8) == 0 {
-			add(at, TroubleMachinesHang, draw(time.Second, 6*time.Second))
-			for i := range time.Duration(5) { // owners in series
-				add(at+i*2500*time.Millisecond, TroubleKillOwner, draw(50*time.Millisecond, 2*time.Second))
+			add(at, TroubleMachinesSeldom, draw(12*time.Second, 24*time.Second))
+			for i := range time.Duration(6) { // owners in series
+				add(at+i*(seldomEvery+500*time.Millisecond), TroubleKillOwner, draw(50*time.Millisecond, 2*time.Second))
 			}
 		}
 	}
+	list = slices.DeleteFunc(list, func(t Trouble) bool { return t.At > p.Length-2*time.Second })
 	slices.SortStableFunc(list, func(a, b Trouble) int { return int(a.At - b.At) })
 	return list
 }
@@ -186,6 +188,8 @@
 		machines(func(f *machineFaults) *time.Time { return &f.deafUntil })
 	case TroubleMachinesMute:
 		machines(func(f *machineFaults) *time.Time { return &f.mutedUntil })
+	case TroubleMachinesSeldom:
+		machines(func(f *machineFaults) *time.Time { return &f.seldomUntil })
 	case TroubleLateReports:
 		machines(func(f *machineFaults) *time.Time { return &f.copies })
 	}
