Read once more: one predicate, one count of duties, one single request each; less state

Need: the change had written again what stood: who holds the duties (the simulation's owner and the soak's), a request on a connection of its own (three places), the condition under which a stop is owed (two), how many controllers a seed is played with (two). Counts of refused reports were kept twice to tell the difference; they start anew once logged. A prefix of keys was spelt out; a wrapper called once is gone.

--- a/internal/core/authority.go
+++ b/internal/core/authority.go
@@ -199,7 +199,7 @@
 		return
 	}
 	for _, att := range m.v.list {
-		if att.halt != haltHard && att.onMachine() && c.cancelled(att.key.job) {
+		if c.owesStop(att) {
 			c.invariantFails("a renewal stops cancelled tasks", "task", wire.TaskName(att.key.job, att.idx), "machine", m.id, "mark", c.own.shares[m.rec.Share].mark)
 		}
 	}
--- a/internal/core/decisions.go
+++ b/internal/core/decisions.go
@@ -11,9 +11,8 @@
 
 // decisions is what has been logged, and what has been counted since.
 type decisions struct {
-	shares  []reason // as last logged
-	refused [reasonCount]uint64
-	told    [reasonCount]uint64
+	shares  []reason            // as last logged
+	refused [reasonCount]uint64 // reports, since they were last logged
 	nextAt  micros.Micros
 	broken  uint64 // invariants
 }
@@ -49,16 +48,16 @@
 // logRefused logs how many reports were refused since the last time, by reason.
 func (c *Core) logRefused() {
 	d := &c.decisions
-	if d.refused == d.told {
+	if d.refused == [reasonCount]uint64{} {
 		return
 	}
 	var args []any
 	for r, n := range d.refused {
-		if n > d.told[r] {
-			args = append(args, reason(r).String(), n-d.told[r])
+		if n > 0 {
+			args = append(args, reason(r).String(), n)
 		}
 	}
-	d.told = d.refused
+	d.refused = [reasonCount]uint64{}
 	c.log(Info, "reports refused", args...)
 }
 
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -57,6 +57,11 @@
 	return j != nil && j.run != nil && j.run.want == wire.StateCancelled
 }
 
+// owesStop: a cancelled task is on its machine, and is not to be stopped at once yet.
+func (c *Core) owesStop(att *attempt) bool {
+	return att.halt != haltHard && att.onMachine() && c.cancelled(att.key.job)
+}
+
 // stopsBefore sees to it that the answer to a report stops each cancelled task that the
 // report lists. An answer renews the machine's lease, so the stop goes with every one, the
 // first after a claim too: the machine may not hear the next before it changes hands again.
@@ -65,7 +70,7 @@
 func (c *Core) stopsBefore(m *machine, rep *wire.Report) (stops []wire.Command) {
 	if m.v.settled {
 		for _, att := range m.v.list {
-			if att.halt != haltHard && att.onMachine() && c.cancelled(att.key.job) {
+			if c.owesStop(att) {
 				c.stop(att, haltHard)
 			}
 		}
--- a/internal/measure/grants.go
+++ b/internal/measure/grants.go
@@ -19,7 +19,7 @@
 // Run plays the seeds; an overshoot is an error.
 func (g *grantsCommand) Run() error {
 	play := func(seed uint64) (standin.GrantsResult, error) {
-		return standin.PlayGrants(standin.GrantsPlan{Seed: seed, Nodes: []int{3, 2, 5}[seed%3], Grants: g.Grants, Most: 3 * time.Minute, Troubles: !g.Calm})
+		return standin.PlayGrants(standin.GrantsPlan{Seed: seed, Nodes: nodesFor(seed), Grants: g.Grants, Most: 3 * time.Minute, Troubles: !g.Calm})
 	}
 	var sum standin.GrantsResult
 	var rates, inForce []float64
--- a/internal/measure/seeds.go
+++ b/internal/measure/seeds.go
@@ -10,6 +10,9 @@
 	return seeds
 }
 
+// nodesFor is how many controllers a seed is played with, where nobody says.
+func nodesFor(seed uint64) int { return []int{3, 2, 5}[seed%3] }
+
 // playSeeds plays seeds, so many at a time, and hands each result on as it comes. The first
 // error ends it.
 func playSeeds[T any](seeds []uint64, parallel int, play func(seed uint64) (T, error), each func(seed uint64, result T)) error {
--- a/internal/measure/soak.go
+++ b/internal/measure/soak.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"os/exec"
@@ -64,11 +65,7 @@
 
 // plan is what a seed is played with.
 func (s *soakCommand) plan(seed uint64) standin.SoakPlan {
-	nodes := s.Nodes
-	if nodes == 0 {
-		nodes = []int{3, 2, 5}[seed%3]
-	}
-	return standin.SoakPlan{Seed: seed, Nodes: nodes, Workers: s.Workers, Length: time.Duration(s.Minutes * float64(time.Minute)),
+	return standin.SoakPlan{Seed: seed, Nodes: cmp.Or(s.Nodes, nodesFor(seed)), Workers: s.Workers, Length: time.Duration(s.Minutes * float64(time.Minute)),
 		Binary: s.Binary, Dir: filepath.Join(s.Dir, fmt.Sprintf("seed-%d", seed)), Only: s.Only}
 }
 
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -397,11 +397,7 @@
 		return fmt.Errorf("stand-in cluster: %w", err)
 	}
 	for range 600 {
-		l := &link{addr: c.nodes[c.draw(len(c.nodes))].set.ServeOn}
-		msg, err := l.do("POST", "/submissions", body)
-		if l.c != nil {
-			l.drop()
-		}
+		msg, err := once(c.nodes[c.draw(len(c.nodes))].set.ServeOn, 0, "POST", "/submissions", body)
 		if err == nil && (msg.Status == 200 || msg.Status == 201) {
 			return nil
 		}
--- a/internal/standin/cluster_faults.go
+++ b/internal/standin/cluster_faults.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"garnethitch/internal/wire"
 )
 
 // Troubles of a cluster's parts, in real time.
@@ -77,11 +79,7 @@
 	to := c.nodes[c.draw(len(c.nodes))].set.ServeOn
 	d := time.Duration(c.draw(int(2*c.plan.Times.WorkerLease.Milliseconds()))) * time.Millisecond
 	time.AfterFunc(d, func() {
-		l := &link{addr: to, timeout: answerTimeout}
-		_, _ = l.do("POST", "/checkin", body)
-		if l.c != nil {
-			l.drop()
-		}
+		_, _ = once(to, answerTimeout, "POST", "/checkin", body)
 	})
 }
 
@@ -100,7 +98,7 @@
 	c.mu.Unlock()
 	now := time.Now()
 	watch := strings.HasPrefix(r.URL.Path, "/watch")
-	jobs := strings.HasPrefix(r.URL.Path, "/keys/job/") || strings.HasPrefix(r.URL.Query().Get("starts"), "job/")
+	jobs := strings.HasPrefix(r.URL.Path, "/keys/"+wire.PrefixJob) || strings.HasPrefix(r.URL.Query().Get("starts"), wire.PrefixJob)
 	switch {
 	case now.Before(f.refuseUntil) && watch:
 		c.pause(time.Until(f.refuseUntil))
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -310,13 +310,7 @@
 // owner is the controller that owns most shares and leads, as far as the state
 // service knows.
 func (s *Sim) owner() *Node {
-	holds := map[string]int{}
-	for key, e := range s.State.keys {
-		var rec wire.OwnerRecord
-		if len(key) > len(wire.PrefixControl) && (key == wire.KeyLeader || key[:min(len(key), len(wire.PrefixOwner))] == wire.PrefixOwner) && wire.Decode(e.value, &rec) == nil {
-			holds[rec.Label]++
-		}
-	}
+	holds := s.State.duties()
 	best := s.Nodes[0]
 	for _, n := range s.Nodes {
 		if holds[n.label] > holds[best.label] {
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -115,6 +115,18 @@
 	return out
 }
 
+// duties counts the duties that each controller holds, by its label.
+func (st *State) duties() map[string]int {
+	holds := map[string]int{}
+	for key, e := range st.keys {
+		var rec wire.OwnerRecord
+		if (key == wire.KeyLeader || strings.HasPrefix(key, wire.PrefixOwner)) && wire.Decode(e.value, &rec) == nil {
+			holds[rec.Label]++
+		}
+	}
+	return holds
+}
+
 func (st *State) remove(key string) {
 	if st.keys[key] != nil {
 		delete(st.keys, key)
--- a/internal/standin/soak.go
+++ b/internal/standin/soak.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"garnethitch/internal/wire"
+	"garnethitch/internal/micros"
 )
 
 // A soak runs controllers as real processes beside users who cancel, ask and repeat all the
@@ -181,7 +181,7 @@
 			}
 		}
 	case TroubleOutage:
-		c.world.with(func() { c.world.sim.State.downUntil = c.world.sim.now + soakMicros(t.For) })
+		c.world.with(func() { c.world.sim.State.downUntil = c.world.sim.now + micros.FromDuration(t.For) })
 	case TroubleMachinesHang:
 		machines(func(f *machineFaults) *time.Time { return &f.hungUntil })
 	case TroubleMachinesDeaf:
@@ -197,15 +197,8 @@
 
 // mostClaims is the controller that holds the most duties by the state service.
 func (c *Cluster) mostClaims() (node int) {
-	holds := map[string]int{}
-	c.world.with(func() {
-		for key, e := range c.world.sim.State.keys {
-			var rec wire.OwnerRecord
-			if isDuty(key) && wire.Decode(e.value, &rec) == nil {
-				holds[rec.Label]++
-			}
-		}
-	})
+	var holds map[string]int
+	c.world.with(func() { holds = c.world.sim.State.duties() })
 	for i, n := range c.nodes {
 		if holds[n.set.Label] > holds[c.nodes[node].set.Label] {
 			node = i
--- a/internal/standin/soak_check.go
+++ b/internal/standin/soak_check.go
@@ -7,9 +7,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"garnethitch/internal/micros"
-	"garnethitch/internal/wire"
 )
 
 // Stay is a task's stay on a machine.
@@ -97,10 +94,3 @@
 	r.Broken = append(r.Broken, s.cluster.problems...)
 	return r
 }
-
-// isDuty: the key is held by the controller that has a duty.
-func isDuty(key string) bool {
-	return key == wire.KeyLeader || strings.HasPrefix(key, wire.PrefixOwner)
-}
-
-func soakMicros(d time.Duration) micros.Micros { return micros.FromDuration(d) }
--- a/internal/standin/soak_user.go
+++ b/internal/standin/soak_user.go
@@ -94,11 +94,7 @@
 
 // ask sends one request to a controller.
 func (s *soak) ask(node int, method, path string, body []byte) (int, wire.JobAnswer) {
-	l := &link{addr: s.cluster.nodes[node].set.ServeOn, timeout: 2 * time.Second}
-	msg, err := l.do(method, path, body)
-	if l.c != nil {
-		l.drop()
-	}
+	msg, err := once(s.cluster.nodes[node].set.ServeOn, 2*time.Second, method, path, body)
 	var answer wire.JobAnswer
 	if err != nil {
 		return 0, answer
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -89,6 +89,16 @@
 	}
 }
 
+// once sends one request on a connection of its own.
+func once(addr string, timeout time.Duration, method, path string, body []byte) (http1.Message, error) {
+	l := &link{addr: addr, timeout: timeout}
+	msg, err := l.do(method, path, body)
+	if l.c != nil {
+		l.drop()
+	}
+	return msg, err
+}
+
 func (l *link) drop() {
 	l.c.Close()
 	l.c = nil
