Requests to the state service are counted by class: waiting, age, sent, given up unsent

Change: counters by class in the queue, logged every 10 s as 'state requests' (at info only while requests are given up unsent), summed up by 'measure size'.

--- a/internal/core/decisions.go
+++ b/internal/core/decisions.go
@@ -42,6 +42,7 @@
 	if c.now >= d.nextAt {
 		d.nextAt = c.now + refusedEvery
 		c.logRefused()
+		c.logStateRequests()
 	}
 }
 
--- a/internal/core/statequeue.go
+++ b/internal/core/statequeue.go
@@ -23,8 +23,9 @@
 	req     any
 	writes  float64
 	timeout micros.Micros
-	expires micros.Micros // not sent after this
-	done    func(Result)
+	// queuedAt is when it was queued; it is not sent after expires.
+	queuedAt, expires micros.Micros
+	done              func(Result)
 }
 
 // bucket is a token bucket.
@@ -58,6 +59,8 @@
 type stateQueue struct {
 	requests, writes bucket
 	queues           [prioCount][]queued
+	counters         [prioCount]classCounters
+	unsentLogged     uint64 // how many had been given up unsent when that was last logged
 }
 
 // askState queues a request to the state service. done is called exactly
@@ -65,6 +68,7 @@
 func (c *Core) askState(prio int, req any, timeout micros.Micros, done func(Result)) {
 	q := &c.stateq.queues[prio]
 	if len(*q) >= maxQueued {
+		c.stateq.counters[prio].rejected++
 		c.later(func() { done(Result{NotSent: true}) })
 		return
 	}
@@ -72,7 +76,7 @@
 	if t, ok := req.(wire.Txn); ok {
 		writes = float64(t.Writes())
 	}
-	*q = append(*q, queued{req: req, writes: writes, timeout: timeout, expires: c.now + timeout, done: done})
+	*q = append(*q, queued{req: req, writes: writes, timeout: timeout, queuedAt: c.now, expires: c.now + timeout, done: done})
 }
 
 // drainState sends what the limits allow.
@@ -81,10 +85,11 @@
 	s.requests.fill(c.now)
 	s.writes.fill(c.now)
 	for prio := range s.queues {
-		q := s.queues[prio]
+		q, count := s.queues[prio], &s.counters[prio]
 		sent := 0
 		for _, item := range q {
 			if c.now > item.expires {
+				count.expired++
 				done := item.done
 				c.later(func() { done(Result{NotSent: true}) })
 				sent++
@@ -95,6 +100,8 @@
 				c.wakeIn(wait)
 				break
 			}
+			count.sent++
+			count.longestWait = max(count.longestWait, c.now-item.queuedAt)
 			s.requests.level--
 			s.writes.level -= item.writes
 			c.call(Call{To: ToState, Req: item.req, Timeout: item.timeout}, item.done)
--- a/internal/measure/size.go
+++ b/internal/measure/size.go
@@ -32,6 +32,9 @@
 		sim := standin.New(p)
 		sim.Run()
 		fmt.Printf("seed %d: %d tasks started, %d restarts, %d times with little knowledge, %d breaks\n", p.Seed, sim.Started, sim.Restarts, sim.Stale, len(sim.Broken))
+		for _, m := range sim.StateRequests() {
+			fmt.Printf("seed %d: requests to the state service, class %s: %d sent, %d expired unsent, %d rejected, longest wait %d ms\n", p.Seed, m.Class, m.Sent, m.Expired, m.Rejected, m.LongestWait.Millis())
+		}
 		for _, line := range sim.Broken {
 			fmt.Printf("seed %d: %s\n", p.Seed, line)
 		}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -58,6 +58,7 @@
 	if n.core == nil {
 		return
 	}
+	n.sim.noteStateRequests(n.core)
 	n.core, n.answer = nil, nil
 	n.sim.Restarts++
 	n.sim.trace("%s crashes for %v s", n.label, down.Seconds())
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -115,6 +115,7 @@
 	// groups' records.
 	LimitsSet, GroupWrites int
 	groups                 map[string]quota.Record
+	stateRequests          []core.RequestClassMetrics // of processes that have ended
 	// Trace, if set, hears what happens.
 	Trace func(string)
 	// copiesUntil: until then many reports are copied.
