Each class of requests to the state service gets a least part of the limits; reads for users are coalesced and fair

Cause: starvation by strict priority. The loop closes itself: nobody speaks for a share that is handed back, so that each question takes a read. Mend: letting go of a role goes with leases, as claims do, and is tried again after a pause. Every class below has a least part of requests and writes, and one whose part is due goes first; what is left goes by urgency as before, so that writes that keep a promise to a user go before reads. Reads for users are a class of their own, the last: one read of a job at a time answers all that came before it was sent, jobs have their turns by how long they have had no answer, and who is refused is told when to come back. Watches, which go with leases, take at most 0.45 of the requests where a state service takes few.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -268,7 +268,7 @@
 		return
 	}
 	c.lookingUp = true
-	c.readJob(att.key.job, func(status int) {
+	c.readJob(classEnd, att.key.job, func(status int) {
 		c.lookingUp = false
 		if v := att.m.v; status == 404 && v != nil && v.attempts[att.key] == att {
 			c.stop(att, haltHard)
--- a/internal/core/batches.go
+++ b/internal/core/batches.go
@@ -262,7 +262,7 @@
 		}
 		txn.Then = append(txn.Then, wire.Change{Put: p.key, Value: value})
 	}
-	c.askState(prioFleet, txn, 1500*micros.Millisecond, func(r Result) {
+	c.askState(classFleet, txn, 1500*micros.Millisecond, func(r Result) {
 		for _, p := range parts {
 			if p.b != nil {
 				p.b.busy = false
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,6 +84,7 @@
 	lastMaintenance micros.Micros
 
 	stateq    stateQueue
+	reads     jobReads
 	own       ownership
 	contact   workerContact
 	jobs      jobTable
@@ -163,6 +164,8 @@
 	c.shareOf = PartTeams(cfg.Teams, cfg.Shares)
 	c.orders.most = max(cfg.Asks, 8)
 	c.own.init(cfg.Shares)
+	c.own.ctl.every = c.watchEvery(controlWatchEvery, controlWatchPart)
+	c.reads.init()
 	c.jobs.init(c.cfg.FinalJobs)
 	c.cascade.init()
 	c.fleet.init(cfg)
--- a/internal/core/dependents.go
+++ b/internal/core/dependents.go
@@ -189,7 +189,7 @@
 		}
 	}
 	generation := w.generation
-	c.askState(prioDependents, txn, cascadeTimeout, func(res Result) {
+	c.askState(classDependents, txn, cascadeTimeout, func(res Result) {
 		current := w.generation == generation
 		if current {
 			w.underWay--
--- a/internal/core/dependents_test.go
+++ b/internal/core/dependents_test.go
@@ -343,9 +343,9 @@
 			machines := 0
 			h.recordEnd("job-000100", wire.StateCancelled, 0)
 			for range 100 {
-				for len(h.c.stateq.queues[prioFleet]) < 20 {
+				for len(h.c.stateq.queues[classFleet]) < 20 {
 					txn := wire.Txn{Then: []wire.Change{{Put: wire.BatchKey(0, "x"), Value: encoded(t, wire.BatchRecord{})}}}
-					h.c.askState(prioFleet, txn, sec, func(r Result) {
+					h.c.askState(classFleet, txn, sec, func(r Result) {
 						if r.Status == 200 {
 							machines++
 						}
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -115,7 +115,7 @@
 	if r.verMark != 0 || r.verBusy {
 		txn.Then = append(txn.Then, wire.Change{Delete: wire.VersionKey(j.id)})
 	}
-	c.askState(prioEnd, txn, 1500*micros.Millisecond, func(res Result) {
+	c.askState(classEnd, txn, 1500*micros.Millisecond, func(res Result) {
 		if j.run != r {
 			return
 		}
@@ -144,7 +144,7 @@
 
 // settleEnd reads a job whose end is unclear.
 func (c *Core) settleEnd(j *job, r *run) {
-	c.readJob(j.id, func(status int) {
+	c.readJob(classEnd, j.id, func(status int) {
 		if j.run != r {
 			return // final, or no longer ours
 		}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -198,7 +198,7 @@
 		If:   []wire.Condition{{Key: wire.KeyLeader, Version: c.own.leader.mark}, {Key: wire.KeyTypes, Version: c.fleet.typesMark}},
 		Then: []wire.Change{{Put: wire.KeyTypes, Value: value}},
 	}
-	c.askState(prioFleet, txn, 2*micros.Second, func(r Result) {
+	c.askState(classFleet, txn, 2*micros.Second, func(r Result) {
 		if r.Status == 200 {
 			c.fleet.typesRaw = value
 		}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -358,10 +358,11 @@
 			due = append(due, j)
 		}
 	}
-	c.own.job.every = jobWatchEvery
+	every := jobWatchEvery
 	if held {
-		c.own.job.every = heldWatchEvery
+		every = heldWatchEvery
 	}
+	c.own.job.every = c.watchEvery(every, jobWatchPart)
 	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
 	for _, j := range due {
 		r := j.run
--- a/internal/core/lease.go
+++ b/internal/core/lease.go
@@ -11,7 +11,7 @@
 	o := &c.own
 	o.asking = true
 	asked := c.now
-	c.askState(prioLease, wire.NewLease{TTLMS: c.cfg.Lease.Millis()}, micros.Second, func(r Result) {
+	c.askState(classLease, wire.NewLease{TTLMS: c.cfg.Lease.Millis()}, micros.Second, func(r Result) {
 		o.asking = false
 		if l, ok := r.Body.(*wire.Lease); ok && r.Status == 200 && l.Lease != 0 {
 			o.lease, o.renewed = l.Lease, asked
@@ -33,7 +33,7 @@
 	o.renewals++
 	asked, lease := c.now, o.lease
 	o.nextRenew = asked + c.cfg.Lease/4
-	c.askState(prioLease, RenewLease{Lease: lease}, c.cfg.Lease, func(r Result) {
+	c.askState(classLease, RenewLease{Lease: lease}, c.cfg.Lease, func(r Result) {
 		o.renewals--
 		if o.lease != lease {
 			return
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -14,6 +14,10 @@
 	mark        uint64 // 0: nobody
 	absentSince micros.Micros
 	claiming    bool
+	// dropping is the mark of our key whose deletion is under way or done; 0: none. One that
+	// failed is tried again from dropNext on.
+	dropping uint64
+	dropNext micros.Micros
 }
 
 // share is a set of teams (or of jobs) with the machines recorded to it.
@@ -118,6 +122,7 @@
 	c.follow(&o.ctl)
 	c.follow(&o.job)
 	c.followQuota()
+	c.dropRoles()
 	if !o.ctl.ready || !c.canAnswer() {
 		return
 	}
@@ -191,7 +196,7 @@
 	s.catching = true
 	asked := c.now
 	// Where the state service is slow, what lets renewals through lets this through.
-	c.askState(prioLease, Watch{Prefix: w.prefix, Since: w.since}, c.cfg.Lease, func(r Result) {
+	c.askState(classLease, Watch{Prefix: w.prefix, Since: w.since}, c.cfg.Lease, func(r Result) {
 		if !s.active || s.mark != mark {
 			return
 		}
@@ -316,7 +321,7 @@
 		Then: []wire.Change{{Put: key, Value: value, Lease: c.own.lease}},
 	}
 	lease := c.own.lease
-	c.askState(prioLease, txn, micros.Second, func(res Result) {
+	c.askState(classLease, txn, micros.Second, func(res Result) {
 		// Whether it took effect is for the watch to show, which also shows late
 		// copies and, with it, all machines recorded before.
 		switch {
@@ -357,23 +362,45 @@
 	}
 }
 
-// releaseShare stops all acting for a share and deletes its owner key.
+// releaseShare stops all acting for a share and deletes its owner key. It need not speak for
+// the share until the deletion is sent: that goes with leases, before all else.
 func (c *Core) releaseShare(s *share) {
 	s.handing = true
 	c.dropQuota(s)
-	c.dropRole(&s.role, ownerKey(s.id), s.mark, func() bool { return s.handing })
+	c.dropRoles()
 }
 
-// dropRole deletes our key of a role. Once it has been sent, this node never
-// acts under that mark again: a late copy could delete the key while our lease
+// dropRoles deletes the keys of the roles that this node is letting go.
+func (c *Core) dropRoles() {
+	for _, s := range c.own.shares {
+		if s.handing {
+			c.dropRole(&s.role, ownerKey(s.id))
+		}
+	}
+	if l := &c.own.leader; l.mark != 0 && l.mark == c.own.stepped {
+		c.dropRole(l, wire.KeyLeader)
+	}
+}
+
+// dropPause is how long a deletion that failed is put off.
+const dropPause = 200 * micros.Millisecond
+
+// dropRole deletes our key of a role. Once that has been sent, this node never
+// acts under its mark again: a late copy could delete the key while our lease
 // lives, and a successor counts on our silence from then on.
-func (c *Core) dropRole(r *role, key string, mark uint64, still func() bool) {
+func (c *Core) dropRole(r *role, key string) {
+	mark := r.mark
+	if r.dropping == mark || c.now < r.dropNext {
+		return
+	}
+	r.dropping = mark
 	txn := wire.Txn{If: []wire.Condition{{Key: key, Version: mark}}, Then: []wire.Change{{Delete: key}}}
-	c.askState(prioFleet, txn, micros.Second, func(res Result) {
-		if r.mark != mark || !still() || res.Status == 200 {
+	c.askState(classLease, txn, micros.Second, func(res Result) {
+		if r.mark != mark || res.Status == 200 {
 			return // the watch shows the rest
 		}
-		c.dropRole(r, key, mark, still)
+		r.dropping = 0
+		r.dropNext = c.now + c.jitter(dropPause)
 	})
 }
 
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -253,7 +253,7 @@
 		}
 		if j == nil && a.Cancel && wire.ValidID(a.ID) {
 			// The watch may not have brought it yet.
-			c.readJob(a.ID, func(status int) {
+			c.readForUser(a.ID, func(status int) {
 				_, over := c.jobs.final(a.ID)
 				if k := c.jobs.open[a.ID]; status == 200 && (over || k != nil && k.run != nil) {
 					c.askedAbout(a, done)
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -236,7 +236,7 @@
 		}
 		t.unknown[id] = c.now + 2*micros.Second
 		t.reads++
-		c.readJob(id, func(int) { t.reads-- })
+		c.readJob(classDependents, id, func(int) { t.reads-- })
 	}
 }
 
@@ -255,7 +255,7 @@
 		return
 	}
 	for _, id := range ask {
-		c.readJob(id, func(got int) {
+		c.readForUser(id, func(got int) {
 			if got == 404 || got != 200 && status == 200 {
 				status = got
 			}
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -131,7 +131,7 @@
 // refreshQuota reads all records, page by page.
 func (c *Core) refreshQuota(s *share, mark uint64, after string) {
 	const page = 200
-	c.askState(prioLease, ListKeys{Prefix: wire.PrefixQuota, After: after, Limit: page}, c.cfg.Lease, func(r Result) {
+	c.askState(classLease, ListKeys{Prefix: wire.PrefixQuota, After: after, Limit: page}, c.cfg.Lease, func(r Result) {
 		if !s.active || s.mark != mark {
 			return
 		}
@@ -186,7 +186,7 @@
 
 // readQuota reads a group's record anew; until that has come about, again and again.
 func (c *Core) readQuota(group string) {
-	c.askState(prioFleet, GetKey{Key: wire.QuotaKey(group)}, quotaTimeout, func(r Result) {
+	c.askState(classFleet, GetKey{Key: wire.QuotaKey(group)}, quotaTimeout, func(r Result) {
 		switch kv, ok := r.Body.(*wire.KeyValue); {
 		case r.Status == 404:
 		case ok && r.Status == 200:
@@ -214,7 +214,7 @@
 		txn.If = append(txn.If, wire.Condition{Key: ownerKey(id), Version: c.own.shares[id].mark})
 	}
 	txn.Then = []wire.Change{{Put: wire.QuotaKey(w.Group), Value: value}}
-	c.askState(prioFleet, txn, quotaTimeout, func(r Result) {
+	c.askState(classFleet, txn, quotaTimeout, func(r Result) {
 		body, ok := r.Body.(*wire.Revision)
 		switch {
 		case ok && r.Status == 200:
--- a/internal/core/statemetrics.go
+++ b/internal/core/statemetrics.go
@@ -23,29 +23,22 @@
 	longestWait             micros.Micros
 }
 
-// stateClassNames are the words of the log and of the metrics.
-var stateClassNames = [prioCount]string{
-	prioLease:      "lease",
-	prioAccept:     "accept",
-	prioEnd:        "end",
-	prioDependents: "dependents",
-	prioFleet:      "fleet",
-	prioVersion:    "version",
-}
-
 // StateRequests gives the metrics of the requests to the state service, the most urgent
 // class first.
 func (c *Core) StateRequests() []RequestClassMetrics {
-	out := make([]RequestClassMetrics, 0, prioCount)
-	for prio, queue := range c.stateq.queues {
-		count := c.stateq.counters[prio]
+	out := make([]RequestClassMetrics, 0, classCount)
+	for class, queue := range c.stateq.queues {
+		count := c.stateq.counters[class]
 		m := RequestClassMetrics{
-			Class: stateClassNames[prio], Depth: len(queue),
+			Class: classNames[class], Depth: len(queue),
 			Sent: count.sent, Expired: count.expired, Rejected: count.rejected, LongestWait: count.longestWait,
 		}
 		if len(queue) > 0 {
 			m.Oldest = c.now - queue[0].queuedAt
 		}
+		if requestClass(class) == classQuestion {
+			m.Depth = len(c.reads.waiting) // of which one is queued
+		}
 		out = append(out, m)
 	}
 	return out
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -74,7 +74,7 @@
 	case 400, 404, 422:
 		c.answer(r, a.Status, nil, 0)
 	default:
-		c.answer(r, 503, nil, 1)
+		c.answer(r, 503, nil, c.retryAfter())
 	}
 }
 
@@ -144,35 +144,32 @@
 	})
 }
 
-// readJob reads a job's record; status is 200 (and the job is known from then
-// on), 404, or 0 when there was no answer.
-func (c *Core) readJob(id string, done func(status int)) {
-	if c.stateQueued() > 100 {
-		done(0)
-		return
-	}
-	c.askState(prioAccept, GetKey{Key: wire.JobKey(id)}, 900*micros.Millisecond, func(r Result) {
-		switch {
-		case r.Status == 200:
-			kv, ok := r.Body.(*wire.KeyValue)
-			if !ok {
-				done(0)
-				return
-			}
-			c.own.contact = c.now
-			c.applyPut(kv.Key, kv.Value, kv.Version)
-			done(200)
-		case r.Status == 404:
-			c.own.contact = c.now
-			done(404)
-		default:
-			done(0)
+// readJob reads a job's record on behalf of other work; status is 200 (and the job is known
+// from then on), 404, or 0 when there was no answer. For users there is readForUser.
+func (c *Core) readJob(class requestClass, id string, done func(status int)) {
+	c.askState(class, GetKey{Key: wire.JobKey(id)}, readTimeout, func(r Result) { done(c.learnRead(r)) })
+}
+
+// learnRead takes what the read of a job's record brought: 200, 404, or 0 for no answer.
+func (c *Core) learnRead(r Result) (status int) {
+	switch r.Status {
+	case 200:
+		kv, ok := r.Body.(*wire.KeyValue)
+		if !ok {
+			return 0
 		}
-	})
+		c.own.contact = c.now
+		c.applyPut(kv.Key, kv.Value, kv.Version)
+		return 200
+	case 404:
+		c.own.contact = c.now
+		return 404
+	}
+	return 0
 }
 
 func (c *Core) freshState(id string, done func(peer.Answer)) {
-	c.readJob(id, func(status int) {
+	c.readForUser(id, func(status int) {
 		if f, ok := c.jobs.final(id); ok {
 			done(finalAnswer(f))
 			return
@@ -210,7 +207,7 @@
 			done(peer.Answer{Status: 503})
 			return
 		}
-		c.readJob(id, func(status int) {
+		c.readForUser(id, func(status int) {
 			if status == 200 {
 				c.withdrawJob(id, false, done)
 				return
@@ -250,6 +247,10 @@
 	}
 }
 
+// maxAccepting is how many records of new jobs may wait for their turn: more would not be
+// written in time.
+const maxAccepting = 40
+
 // submit takes a user's job.
 func (c *Core) submit(in Submit) {
 	if in.Err != nil {
@@ -280,7 +281,7 @@
 		c.refuseSubmission(in.Reply, id, 400)
 		return
 	}
-	if len(c.jobs.open) >= c.cfg.OpenJobs || c.stateQueued() > 40 {
+	if len(c.jobs.open) >= c.cfg.OpenJobs || c.stateq.waiting(classAccept) > maxAccepting {
 		c.answer(in.Reply, 429, nil, 2)
 		return
 	}
@@ -400,7 +401,7 @@
 		If:   []wire.Condition{{Key: wire.JobKey(id), Version: 0}},
 		Then: []wire.Change{{Put: wire.JobKey(id), Value: value}},
 	}
-	c.askState(prioAccept, txn, 1200*micros.Millisecond, func(r Result) {
+	c.askState(classAccept, txn, 1200*micros.Millisecond, func(r Result) {
 		if body, ok := r.Body.(*wire.Revision); ok && r.Status == 200 {
 			c.own.contact = c.now
 			c.learnJob(id, rec, body.Revision)
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -17,7 +17,7 @@
 func (c *Core) loadVersions(s *share, after string, got map[string]wire.VersionRecord, marks map[string]uint64) {
 	mark := s.mark
 	s.loading = true
-	c.askState(prioEnd, ListKeys{Prefix: wire.PrefixVersion, After: after, Limit: 200}, 3*micros.Second, func(r Result) {
+	c.askState(classEnd, ListKeys{Prefix: wire.PrefixVersion, After: after, Limit: 200}, 3*micros.Second, func(r Result) {
 		if !s.active || s.mark != mark {
 			return
 		}
@@ -162,7 +162,7 @@
 		If:   []wire.Condition{{Key: ownerKey(s.id), Version: s.mark}, {Key: key, Version: r.verMark}, {Key: wire.JobKey(j.id), Version: j.mark}},
 		Then: []wire.Change{{Put: key, Value: value}},
 	}
-	c.askState(prioVersion, txn, 2*micros.Second, func(res Result) {
+	c.askState(classVersion, txn, 2*micros.Second, func(res Result) {
 		if j.run != r {
 			return
 		}
@@ -184,7 +184,7 @@
 			return
 		}
 		// Unclear or refused: see what stands there before writing again.
-		c.askState(prioVersion, GetKey{Key: key}, micros.Second, func(res Result) {
+		c.askState(classVersion, GetKey{Key: key}, micros.Second, func(res Result) {
 			if j.run != r {
 				return
 			}
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -35,10 +35,24 @@
 // node that took it, and a claim looks by itself. Where a job of this node is held
 // until another's job is done, it is.
 const (
-	jobWatchEvery  = 400 * micros.Millisecond
-	heldWatchEvery = 120 * micros.Millisecond
+	controlWatchEvery = 80 * micros.Millisecond
+	jobWatchEvery     = 400 * micros.Millisecond
+	heldWatchEvery    = 120 * micros.Millisecond
 )
 
+// Watches go with leases, before all else, and where records change all the time each ends
+// at once. These are the parts of this node's requests that they take at most; see leasePart.
+const (
+	controlWatchPart = 0.27
+	jobWatchPart     = 0.18
+)
+
+// watchEvery is the least time between two watches of a prefix: as given, or more where the
+// state service takes few requests.
+func (c *Core) watchEvery(every micros.Micros, part float64) micros.Micros {
+	return max(every, micros.FromSeconds(1/(part*c.stateq.requests.rate)))
+}
+
 // watchBlock is how long a watch waits for changes.
 const watchBlock = 5 * micros.Second
 
@@ -58,7 +72,7 @@
 		return
 	}
 	req, asked := Watch{Prefix: w.prefix, Since: w.since, WaitMS: watchBlock.Millis()}, c.now
-	c.askState(prioLease, req, watchBlock+2*micros.Second, func(r Result) {
+	c.askState(classLease, req, watchBlock+2*micros.Second, func(r Result) {
 		w.busy = false
 		switch body := r.Body.(type) {
 		case *wire.Events:
@@ -89,7 +103,7 @@
 	if w.after == "" {
 		w.listFrom = c.now
 	}
-	c.askState(prioLease, ListKeys{Prefix: w.prefix, After: w.after, Limit: page}, 3*micros.Second, func(r Result) {
+	c.askState(classLease, ListKeys{Prefix: w.prefix, After: w.after, Limit: page}, 3*micros.Second, func(r Result) {
 		w.busy = false
 		body, ok := r.Body.(*wire.KeyList)
 		if !ok || r.Status != 200 {
--- a/internal/core/worker_contact.go
+++ b/internal/core/worker_contact.go
@@ -76,7 +76,7 @@
 	}
 	if l := &c.own.leader; c.isMine(l) {
 		c.own.stepped = l.mark
-		c.dropRole(l, wire.KeyLeader, l.mark, func() bool { return c.own.stepped == l.mark })
+		c.dropRole(l, wire.KeyLeader)
 	}
 }
 
--- a/internal/measure/size.go
+++ b/internal/measure/size.go
@@ -10,14 +10,15 @@
 
 // sizeCommand plays the simulation at production size, beyond what fits into the tests.
 type sizeCommand struct {
-	Seeds    int           `default:"4" help:"How many seeds."`
-	First    uint64        `default:"1" help:"The first seed."`
-	Machines int           `default:"4000" help:"Machines, all up at the start."`
-	StateRPS float64       `default:"60" help:"Requests a second that the state service takes."`
-	WriteRPS float64       `default:"20" help:"Writes a second that it takes."`
-	Slow     micros.Micros `default:"0" help:"How long a step takes for a while on one controller and then on all, in microseconds."`
-	Faults   bool          `help:"Troubles of single parts, too."`
-	Fleet    bool          `help:"Troubles that hit many machines or all controllers at a time, too."`
+	Seeds     int           `default:"4" help:"How many seeds."`
+	First     uint64        `default:"1" help:"The first seed."`
+	Machines  int           `default:"4000" help:"Machines, all up at the start."`
+	StateRPS  float64       `default:"60" help:"Requests a second that the state service takes."`
+	WriteRPS  float64       `default:"20" help:"Writes a second that it takes."`
+	Slow      micros.Micros `default:"0" help:"How long a step takes for a while on one controller and then on all, in microseconds."`
+	Questions float64       `help:"Questions of users a second, each at all controllers, beside their polls."`
+	Faults    bool          `help:"Troubles of single parts, too."`
+	Fleet     bool          `help:"Troubles that hit many machines or all controllers at a time, too."`
 }
 
 // Run plays the seeds; a broken rule is an error.
@@ -26,12 +27,15 @@
 	for i := range s.Seeds {
 		p := standin.Plan{
 			Seed: s.First + uint64(i), Nodes: 3, Machines: s.Machines, Up: s.Machines, Jobs: s.Machines / 8, Grown: true, Stale: true,
-			Faults: s.Faults, Fleet: s.Fleet, Slow: s.Slow, StateRPS: s.StateRPS, WriteRPS: s.WriteRPS,
+			Faults: s.Faults, Fleet: s.Fleet, Slow: s.Slow, StateRPS: s.StateRPS, WriteRPS: s.WriteRPS, Questions: s.Questions,
 			Teams: []core.Team{{Name: "solo"}}, Length: 90 * micros.Second, Rest: 300 * micros.Second,
 		}
 		sim := standin.New(p)
 		sim.Run()
 		fmt.Printf("seed %d: %d tasks started, %d restarts, %d times with little knowledge, %d breaks\n", p.Seed, sim.Started, sim.Restarts, sim.Stale, len(sim.Broken))
+		if s.Questions > 0 {
+			fmt.Printf("seed %d: %d questions at all controllers, %d answers refused\n", p.Seed, sim.Questions, sim.Refused)
+		}
 		for _, m := range sim.StateRequests() {
 			fmt.Printf("seed %d: requests to the state service, class %s: %d sent, %d expired unsent, %d rejected, longest wait %d ms\n", p.Seed, m.Class, m.Sent, m.Expired, m.Rejected, m.LongestWait.Millis())
 		}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -53,6 +53,9 @@
 	FinalJobs int
 	// StateRPS and WriteRPS are the limits of the state service; 0: large ones.
 	StateRPS, WriteRPS float64
+	// Questions is how many times a second users ask about jobs, each time at all
+	// controllers, beside their polls; see questions.go.
+	Questions float64
 	// Churn makes every job one task, four of them a second, a quarter cancelled.
 	Churn bool
 	// Pipelines is how many sets of jobs that need each other are submitted besides.
@@ -95,6 +98,9 @@
 	Chained int
 	// CascadeCancelled counts the jobs of a cascade that stand as cancelled at its end.
 	CascadeCancelled int
+	// Questions counts what was asked beside polls, Refused the answers that could not be
+	// given.
+	Questions, Refused int
 	// Stale counts the times in which controllers knew little.
 	Stale int
 	// Copies counts late copies of reports, Unreachable machines that were out of reach.
@@ -206,6 +212,9 @@
 	if p.Stale {
 		s.scheduleStale()
 	}
+	if p.Questions > 0 {
+		s.scheduleQuestions()
+	}
 	return s
 }
 
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -74,6 +74,10 @@
 		{"meetings and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Faults: true}, 8},
 		{"stale, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true}, 24},
 		{"stale, teams parted", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true}, 8},
+		// Users ask more than the state service takes.
+		{"questions, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Questions: 50, StateRPS: 60, WriteRPS: 20}, 4},
+		{"questions and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Questions: 50, StateRPS: 60, WriteRPS: 20, Faults: true}, 8},
+		{"questions while controllers know little", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Questions: 50, StateRPS: 60, WriteRPS: 20, Stale: true}, 8},
 		{"churn, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true}, 2},
 		{"churn and meetings, teams parted", fourTeam, Plan{Nodes: 3, Machines: 20, Jobs: 240, Churn: true, Meet: true}, 3},
 		// Pipelines, and a roll from the version in production.
@@ -135,6 +139,9 @@
 	if p.Stale && len(s.Broken) == 0 && (s.Stale < 2 || s.meet.Cancelled == 0) {
 		t.Errorf("too little happened: controllers knew little %d times, %d jobs cancelled", s.Stale, s.meet.Cancelled)
 	}
+	if p.Questions > 0 && len(s.Broken) == 0 && (s.Questions < 1000 || s.Refused < 100) {
+		t.Errorf("too little happened: %d questions, %d refused", s.Questions, s.Refused)
+	}
 	if p.Pipelines > 0 && !p.Meet && !p.Faults && s.Chained == 0 {
 		t.Error("no task started after others")
 	}
