Failing: a task whose job's end has left memory is fed with the first answer after a claim, on hundreds of machines, and by blind owners

Need: the listed test shows one machine at one owner. The new ones: the first answer after a claim, before the machine's list is believed; 300 machines at once; a task started by another share's owner; an owner that can't learn of jobs, which fed such a task until completeAt + Blind although its user may have been told long before the view. Beside them, what must not be stopped: tasks of jobs accepted while the view hangs, or whose record can't be used here (they pass).

--- /dev/null
+++ b/internal/core/unknown_jobs_test.go
@@ -0,0 +1,159 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"garnethitch/internal/wire"
+)
+
+// Tasks of jobs that this node does not know (docs/incidents/2026-12-unknown-job-was-fed.md).
+//
+// A cancelled task lived on at an owner with a current view of jobs. Its job's end had left
+// the bounded memory of ends when the machine reported after a claim, and the job's record
+// was to be read before anything was done: one read at a time, 5 s after the task had come
+// up, begun only by a report. Where reads were refused, each report was answered, which
+// renewed the machine's lease, with no stop; in TestStrayUnread for 40 s and more. The
+// simulation broke ran_cancelled or "renewed" in the same way with the ends of four jobs kept.
+
+// A claim with a current view, after which a machine shows the task of a job that is over
+// and that has left memory.
+func TestEndedTaskIsStoppedWithoutRead(t *testing.T) {
+	few := func(c *Config) {
+		withPeer(c)
+		c.FinalJobs, c.Cancel, c.MaxMachines = 1, 40*sec, 400
+	}
+	end := func(h *harness, id string) {
+		h.put(wire.JobKey(id), wire.JobRecord{State: wire.StateCancelled, Tasks: 1})
+	}
+	claimAnew := func(h *harness) {
+		h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
+		h.run(2 * sec)
+	}
+	shows := func(machine string, seq, token uint64, job string, attempt uint64) wire.Report {
+		return report(machine, 1, seq, token, wire.TaskReport{Task: job + "/0", Attempt: attempt, State: wire.TaskRunning})
+	}
+
+	t.Run("with the first answer after the claim", func(t *testing.T) {
+		h := meet(t, few)
+		token, attempt := h.runOne()
+		end(h, "job-000001")
+		end(h, "job-000002")
+		h.unread = wire.PrefixJob
+		claimAnew(h)
+		if status, body := h.checkin(h.running(20, token, attempt)); status == 200 && stops(body.Commands) != 1 {
+			t.Errorf("answered 200 with %v, want the task stopped", body.Commands)
+		}
+	})
+
+	t.Run("hundreds of machines", func(t *testing.T) {
+		const machines = 300
+		h := meet(t, few)
+		for i := range machines {
+			h.listed = append(h.listed, wire.ListedMachine{ID: machineName(i), Addr: machineName(i), Type: "m", Zone: "a", State: wire.MachineRunning, AgeS: 1})
+		}
+		h.c.fleet.listNext, h.c.fleet.planNext = h.now, h.now+400*ms
+		h.run(2 * sec)
+		old := h.c.own.shares[0].mark
+		for i := range machines {
+			end(h, fmt.Sprintf("job-%06d", i))
+		}
+		h.unread = wire.PrefixJob
+		claimAnew(h)
+		token := h.c.own.shares[0].mark
+		for i := range machines {
+			if status, body := h.checkin(shows(machineName(i), 5, token, fmt.Sprintf("job-%06d", i), old<<32|uint64(i))); status != 200 || stops(body.Commands) != 1 {
+				t.Fatalf("machine %d of %d: answered %d with %v, want the task stopped", i, machines, status, body.Commands)
+			}
+		}
+	})
+
+	t.Run("started by another share's owner, under a later claim", func(t *testing.T) {
+		h := meet(t, few)
+		token, _ := h.runOne()
+		end(h, "job-000007")
+		end(h, "job-000008")
+		h.unread = wire.PrefixJob
+		later := uint64(1000)
+		h.checkin(shows("vm-1", 20, token, "job-000007", later<<32|1))
+		h.put(wire.JobKey("job-000009"), wire.JobRecord{State: wire.StateDone, Tasks: 1}) // the view goes on
+		h.run(sec)
+		if status, body := h.checkin(shows("vm-1", 21, token, "job-000007", later<<32|1)); status == 200 && stops(body.Commands) != 1 {
+			t.Errorf("answered 200 with %v, want the task stopped", body.Commands)
+		}
+	})
+}
+
+// An owner that can't learn of jobs, and a machine that shows a task of one that it does not
+// know. If the task was started under a claim that its view includes, the job may have ended
+// long ago, and nothing tells when its user was told: the machine's lease is not renewed,
+// and the task is not stopped either, since it may be of a job that has just been accepted.
+// If it was started under a later claim, the job was not over when the view was complete.
+func TestUnknownJobAtBlindOwner(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		later    bool // started under a claim that the view does not include
+		answered bool
+	}{{"started before the view", false, false}, {"started after the view", true, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, func(c *Config) {
+				withPeer(c)
+				c.FinalJobs, c.Cancel = 1, 40*sec
+			})
+			token, _ := h.runOne()
+			before := h.c.own.shares[0].mark
+			h.watchBlocked, h.unlisted, h.unread = wire.PrefixJob, wire.PrefixJob, wire.PrefixJob
+			claim := h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99})
+			if !tc.later {
+				claim = before
+			}
+			h.txn(wire.Txn{Then: []wire.Change{{Delete: ownerKey(0)}}})
+			h.run(2 * sec)
+			s := h.c.own.shares[0]
+			if !s.active || s.current {
+				t.Fatal("not a blind owner: the case is not what it should be")
+			}
+			for seq := uint64(20); seq < 23; seq++ {
+				status, body := h.checkin(report("vm-1", 1, seq, token, wire.TaskReport{Task: "job-000007/0", Attempt: claim<<32 | 1, State: wire.TaskRunning}))
+				if (status == 200) != tc.answered || stops(body.Commands) > 0 {
+					t.Errorf("report %d: answered %d with %v, want it answered: %v, and nothing stopped", seq, status, body.Commands, tc.answered)
+				}
+				token = max(token, body.Token)
+				h.run(sec)
+			}
+		})
+	}
+}
+
+// No task of an accepted job is stopped because this node does not know the job yet, or
+// cannot use its record.
+func TestUnknownJobIsNotStopped(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		record func(h *harness)
+	}{
+		{"accepted while the view hangs", func(h *harness) {
+			h.watchBlocked = wire.PrefixJob
+			h.put(wire.JobKey("job-000007"), wire.NewJobRecord(new(jobOf("job-000007", 1)), 1))
+		}},
+		{"of a team that the settings do not know", func(h *harness) {
+			sub := jobOf("job-000007", 1)
+			sub.Team = "another"
+			h.put(wire.JobKey("job-000007"), wire.NewJobRecord(&sub, 1))
+		}},
+		{"its record is not readable", func(h *harness) { h.put(wire.JobKey("job-000007"), "nonsense") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, withPeer)
+			token := h.settle("vm-1")
+			tc.record(h)
+			attempt := (h.rev+1)<<32 | 1 // by a later owner of another share
+			for seq := uint64(20); seq < 24; seq++ {
+				if _, body := h.checkin(report("vm-1", 1, seq, token, wire.TaskReport{Task: "job-000007/0", Attempt: attempt, State: wire.TaskRunning})); stops(body.Commands) > 0 {
+					t.Errorf("report %d: stopped by %v", seq, body.Commands)
+				}
+				h.run(sec)
+			}
+		})
+	}
+}
--- a/internal/standin/sim_test.go
+++ b/internal/standin/sim_test.go
@@ -74,6 +74,9 @@
 		{"meetings and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 12, Jobs: 30, Meet: true, Faults: true}, 8},
 		{"stale, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true}, 24},
 		{"stale, teams parted", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true}, 8},
+		{"stale, few ends kept", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true, FinalJobs: 1}, 24},
+		{"stale and troubles, few ends kept", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true, FinalJobs: 1, Faults: true}, 12},
+		{"a roll while controllers know little, few ends kept", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Stale: true, FinalJobs: 1, Roll: Production}, 8},
 		// Users ask more than the state service takes.
 		{"questions, jobs parted", oneTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Questions: 50, StateRPS: 60, WriteRPS: 20}, 4},
 		{"questions and troubles, teams parted", fourTeam, Plan{Nodes: 3, Machines: 14, Jobs: 40, Questions: 50, StateRPS: 60, WriteRPS: 20, Faults: true}, 8},
