Failing: calls for users take all places under way to a slow state service or controller

A process takes so many calls to the state service and to the other controllers at a time, and refuses the next, whoever asks: at 1,800 sockets 56 and 42. Reads and questions for users fill them where answers are slow, and a renewal or a status is then not sent. Found by reading; the test shows it at the core, whose settings get the two bounds, unused here.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,6 +42,11 @@
 	// past it submissions are refused, with a time to come back. FinalJobs is how many
 	// final states are kept in memory; older ones are read again. 0: defaults.
 	Asks, OpenJobs, FinalJobs int
+	// StateCalls bounds the requests to the state service under way beside leases, PeerAsks
+	// the users' questions to other controllers: the calls above these that the process
+	// takes are left to renewals and watches, and to what controllers tell each other. 0:
+	// no bound.
+	StateCalls, PeerAsks int
 	// Reporters bounds the machines without a record whose reports wait for one: each
 	// holds a connection. Past it a report is answered 503, and its machine reports
 	// to the next controller a second later. 0: MaxMachines.
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -43,6 +43,8 @@
 	late    string
 	lateOut []Call
 	held    []Call
+	// asked are the questions that were sent to the other controllers.
+	asked []peer.Ask
 	// told are the Status messages that reached the other controllers.
 	told []peer.Status
 	done []wire.Txn // carried out
@@ -137,6 +139,9 @@
 }
 
 func (h *harness) callPeer(c Call) {
+	if req := c.Req.(peer.Request); req.Ask != nil {
+		h.asked = append(h.asked, *req.Ask)
+	}
 	if h.peersDown {
 		return
 	}
--- a/internal/core/questions_test.go
+++ b/internal/core/questions_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
 	"garnethitch/internal/wire"
 )
 
@@ -192,3 +193,54 @@
 		t.Errorf("the question that came after that read was sent was answered %d, want 200", got)
 	}
 }
+
+// Where the state service or another controller is slow, calls pile up until the process
+// takes no more. Those for users stop before, so that renewals and watches, and what
+// controllers tell each other, still go out.
+func TestCallsUnderWayAreBounded(t *testing.T) {
+	const stateCalls, peerAsks = 6, 4
+	limits := func(c *Config) {
+		withPeer(c)
+		c.StateCalls, c.PeerAsks = stateCalls, peerAsks
+	}
+	ask := func(h *harness, id string, d micros.Micros) {
+		for until := h.now + d; h.now < until; {
+			for range 5 {
+				h.poll(id)
+			}
+			h.run(20 * ms)
+		}
+	}
+	t.Run("state service", func(t *testing.T) {
+		h := meet(t, limits)
+		h.stateDown = true // what is sent is held, without an answer
+		for i := range 100 {
+			h.poll(questionID(i))
+		}
+		h.run(sec)
+		reads, renewals := 0, 0
+		for _, c := range h.held {
+			switch c.Req.(type) {
+			case GetKey:
+				reads++
+			case RenewLease:
+				renewals++
+			}
+		}
+		if reads > stateCalls || renewals == 0 {
+			t.Errorf("%d reads are under way, want at most %d; %d renewals were sent", reads, stateCalls, renewals)
+		}
+	})
+	t.Run("other controller", func(t *testing.T) {
+		h := meet(t, limits)
+		h.submit(jobOf("job-000001", 1))
+		h.put(ownerKey(0), wire.OwnerRecord{Label: "n-1", Incarnation: 99})
+		h.step(PeerMessage{Reply: 900, Req: peer.Request{From: "n-1", Status: &peer.Status{About: peer.About{StateOK: true}}}})
+		h.peersDown = true
+		before := len(h.asked)
+		ask(h, "job-000001", sec/5)
+		if n := len(h.asked) - before; n == 0 || n > peerAsks {
+			t.Errorf("%d questions are under way to the other controller, want some and at most %d", n, peerAsks)
+		}
+	})
+}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -92,7 +92,7 @@
 	outbound.MaxIdle, outbound.MaxBody, outbound.MaxConns = 1, maxBody, sz.Workers
 	outbound.IdleTimeout = time.Minute // about as long as a task runs
 	rt.workers = client.New(outbound)
-	rt.most = [...]int{core.ToState: sz.Services / 2, core.ToCloud: sz.Services / 8, core.ToWorker: 2 * sz.Asks, core.ToPeer: sz.Services * 3 / 8}
+	rt.most = [...]int{core.ToState: sz.StateCalls, core.ToCloud: sz.Services / 8, core.ToWorker: 2 * sz.Asks, core.ToPeer: sz.PeerCalls}
 	rt.srv = server.New(server.Config{
 		Addrs:    []string{set.ServeOn, set.InternalAddr},
 		MaxConns: sz.Serve,
@@ -119,6 +119,7 @@
 		Cancel:      micros.FromSeconds(cl.Workers.CancelS),
 		StateRPS:    state.RPS, WriteRPS: state.WriteRPS,
 		ValueBytes: int(state.ValueKB * 1024), TxnOps: state.TxnOps,
+		StateCalls: sz.StateCalls * 3 / 4, PeerAsks: sz.PeerCalls * 3 / 4,
 		Asks: sz.Asks, OpenJobs: sz.OpenJobs, FinalJobs: sz.FinalJobs, Reporters: sz.Serve,
 		CloudRPS: cl.Cloud.RPS, ListLag: micros.FromSeconds(cl.Cloud.ListLagS),
 		SilentReturn: silentReturn(opt),
--- a/internal/runtime/sizes.go
+++ b/internal/runtime/sizes.go
@@ -13,9 +13,12 @@
 // may be left alone with every worker and user.
 type Sizes struct {
 	Services int // connections to the state service, the cloud and the other controllers
-	Workers  int // connections to workers, kept ones included
-	Asks     int // requests to workers under way
-	Serve    int // connections served
+	// StateCalls and PeerCalls bound the calls to the state service and to the other
+	// controllers that are under way, out of Services.
+	StateCalls, PeerCalls int
+	Workers               int // connections to workers, kept ones included
+	Asks                  int // requests to workers under way
+	Serve                 int // connections served
 	// StateBody bounds one answer of the state service: a watch has no limit of
 	// its own. A larger one leads to a fresh listing. Held bounds unparsed input.
 	StateBody int
@@ -53,6 +56,7 @@
 		Services: min(max(res.Sockets/16, 16), 256),
 		Asks:     min(max(res.Sockets/30, 8), 96),
 	}
+	sz.StateCalls, sz.PeerCalls = sz.Services/2, sz.Services*3/8
 	// Most orders find a kept connection: a new one wakes this node twice more.
 	sz.Workers = min(max(res.Sockets/6, 2*sz.Asks), 1024)
 	sz.Serve = max(res.Sockets-sz.Services-sz.Workers-reserved-server.Sockets(0), 1)
