Calls under way for users are bounded, so that renewals and statuses still go out

Cause: the same starvation one layer below: the process takes so many calls to each service, refuses the next whoever asks, and users' reads and questions fill the places.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,6 +90,7 @@
 
 	stateq    stateQueue
 	reads     jobReads
+	peerAsks  int // questions to other controllers under way
 	own       ownership
 	contact   workerContact
 	jobs      jobTable
@@ -167,6 +168,7 @@
 	c.shareOf = PartTeams(cfg.Teams, cfg.Shares)
 	c.orders.most = max(cfg.Asks, 8)
 	c.own.init(cfg.Shares)
+	c.stateq.mostUnderWay = cfg.StateCalls
 	c.own.ctl.every = c.watchEvery(controlWatchEvery, controlWatchPart)
 	c.reads.init()
 	c.jobs.init(c.cfg.FinalJobs)
--- a/internal/core/statequeue.go
+++ b/internal/core/statequeue.go
@@ -97,10 +97,14 @@
 // stateQueue keeps this node to its part of the state service's limits, and divides that
 // among the classes: leases first; then a class whose promise is due, the one due longest
 // first; then by urgency. A transaction that has its turn and waits for the write limit
-// holds back other writes, but no reads.
+// holds back other writes, but no reads. Where answers are slow, the requests under way are
+// bounded, leases excepted.
 type stateQueue struct {
 	requests, writes bucket
-	queues           [classCount][]queued
+	// underWay counts the requests beside leases that are not answered yet, mostUnderWay
+	// bounds them; 0: no bound.
+	underWay, mostUnderWay int
+	queues                 [classCount][]queued
 	// dueAt is when the promise to a class is due again: after each request, by the
 	// time that the request takes of what the class is promised.
 	dueAt        [classCount]micros.Micros
@@ -121,6 +125,9 @@
 // waiting is how many requests of a class wait.
 func (q *stateQueue) waiting(class requestClass) int { return len(q.queues[class]) }
 
+// full: as many requests beside leases are under way as may be.
+func (q *stateQueue) full() bool { return q.mostUnderWay > 0 && q.underWay >= q.mostUnderWay }
+
 // clear takes off all requests of a class; nobody is told.
 func (q *stateQueue) clear(class requestClass) { q.queues[class] = nil }
 
@@ -153,11 +160,17 @@
 	if q.empty() {
 		return queued{}, false, 0
 	}
+	if q.full() && q.waiting(classLease) == 0 {
+		return queued{}, false, 0 // until an answer comes
+	}
 	if wait := q.requests.until(1); wait > 0 {
 		return queued{}, false, wait
 	}
 	writesHeld := false // for a transaction that goes before
 	for _, class := range q.order(now) {
+		if class != classLease && q.full() {
+			break
+		}
 		i, blocked := q.firstSendable(class, writesHeld)
 		if blocked > 0 && (wait == 0 || blocked < wait) {
 			wait = blocked
@@ -213,6 +226,14 @@
 // leaves that one's turn as it is.
 func (q *stateQueue) send(now micros.Micros, class requestClass, i int) queued {
 	item := q.remove(class, i)
+	if class != classLease {
+		q.underWay++
+		done := item.done
+		item.done = func(res Result) {
+			q.underWay--
+			done(res)
+		}
+	}
 	q.requests.level--
 	q.writes.level -= item.writes
 	if i == 0 {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -129,8 +129,15 @@
 	})
 }
 
+// askPeer asks the owner of a job for a user.
 func (c *Core) askPeer(p *peerView, ask peer.Ask, timeout micros.Micros, done func(peer.Answer)) {
+	if c.cfg.PeerAsks > 0 && c.peerAsks >= c.cfg.PeerAsks {
+		done(peer.Answer{Status: 503})
+		return
+	}
+	c.peerAsks++
 	c.call(Call{To: ToPeer, Addr: p.label, Req: peer.Request{From: c.cfg.Label, Ask: &ask}, Timeout: timeout}, func(r Result) {
+		c.peerAsks--
 		resp, ok := r.Body.(*peer.Response)
 		if !ok || r.Status != 200 || resp.Answer == nil {
 			done(peer.Answer{Status: 503})
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -145,7 +145,7 @@
 	s.cfg = core.Config{
 		Shares: p.Nodes, Teams: p.Teams,
 		Lease: 3 * sec, ReportEvery: 2 * sec, WorkerLease: 12 * sec, Cancel: 25 * sec,
-		StateRPS: cmp.Or(p.StateRPS, 300), WriteRPS: cmp.Or(p.WriteRPS, 80), ValueBytes: 8 << 10, TxnOps: 8, Asks: 24, SilentReturn: -1,
+		StateRPS: cmp.Or(p.StateRPS, 300), WriteRPS: cmp.Or(p.WriteRPS, 80), ValueBytes: 8 << 10, TxnOps: 8, Asks: 24, StateCalls: 42, PeerAsks: 31, SilentReturn: -1,
 		CloudRPS: 10, ListLag: 2 * sec,
 		DrainHorizon: 30 * sec, IdleReturn: 15 * sec, BeginWithin: 60 * sec, Quarantine: 30 * sec, MaxMachines: p.Machines,
 		Urgent: map[string]micros.Micros{"rush": 3 * sec}, FinalJobs: p.FinalJobs,
