--- a/internal/measure/soak.go
+++ b/internal/measure/soak.go
@@ -13,17 +13,20 @@
 
 // soakCommand plays soaks of real processes.
 type soakCommand struct {
-	Seeds    int     `default:"50" help:"How many seeds."`
-	First    uint64  `default:"1" help:"The first seed."`
-	Seed     uint64  `help:"Play this seed alone."`
-	Workers  int     `default:"60" help:"Workers, all in this process."`
-	Minutes  float64 `default:"1" help:"How long each seed is played."`
-	Parallel int     `default:"2" help:"Seeds played at a time."`
-	Nodes    int     `help:"Controllers; 0: 2, 3 and 5 in turn."`
-	Only     []int   `help:"Play only the troubles of these numbers."`
-	Dir      string  `default:"target/soak" help:"For the binary, settings and logs."`
-	Binary   string  `type:"existingfile" help:"A controller's program; left out, it is built."`
-	Plan     bool    `help:"Print the troubles and stop."`
+	Seeds     int     `default:"50" help:"How many seeds."`
+	First     uint64  `default:"1" help:"The first seed."`
+	Seed      uint64  `help:"Play this seed alone."`
+	Workers   int     `default:"60" help:"Workers, all in this process."`
+	Minutes   float64 `default:"1" help:"How long each seed is played."`
+	Parallel  int     `default:"2" help:"Seeds played at a time."`
+	Nodes     int     `help:"Controllers; 0: 2, 3 and 5 in turn."`
+	Questions float64 `help:"Questions a second, at all controllers, about jobs that nobody submitted."`
+	StateRPS  float64 `help:"Requests a second that the state service takes by the settings; 0: plenty."`
+	WriteRPS  float64 `help:"Writes a second that it takes; 0: plenty."`
+	Only      []int   `help:"Play only the troubles of these numbers."`
+	Dir       string  `default:"target/soak" help:"For the binary, settings and logs."`
+	Binary    string  `type:"existingfile" help:"A controller's program; left out, it is built."`
+	Plan      bool    `help:"Print the troubles and stop."`
 }
 
 // Run plays the seeds; a break is an error.
@@ -65,7 +68,7 @@
 
 // plan is what a seed is played with.
 func (s *soakCommand) plan(seed uint64) standin.SoakPlan {
-	return standin.SoakPlan{Seed: seed, Nodes: cmp.Or(s.Nodes, nodesFor(seed)), Workers: s.Workers, Length: time.Duration(s.Minutes * float64(time.Minute)),
+	return standin.SoakPlan{Seed: seed, Nodes: cmp.Or(s.Nodes, nodesFor(seed)), Workers: s.Workers, Questions: s.Questions, StateRPS: s.StateRPS, WriteRPS: s.WriteRPS, Length: time.Duration(s.Minutes * float64(time.Minute)),
 		Binary: s.Binary, Dir: filepath.Join(s.Dir, fmt.Sprintf("seed-%d", seed)), Only: s.Only}
 }
 
--- a/internal/standin/cluster.go
+++ b/internal/standin/cluster.go
@@ -54,6 +54,8 @@
 	Machines int // of 4 CPUs
 	Teams    []string
 	Groups   []quota.GroupOptions
+	// StateRPS and WriteRPS are what the state service takes by the settings; 0: plenty.
+	StateRPS, WriteRPS float64
 	// LostAnswers is the part of the state service's answers that get lost.
 	LostAnswers float64
 	// Binary has each controller run as a process of its own, that of this file, with its
@@ -181,7 +183,7 @@
 		cl.Nodes, cl.Teams, cl.Zones = c.plan.Nodes, teams, zones[:]
 		times := c.plan.Times
 		cl.Workers = config.Workers{ReportS: times.Report.Seconds(), LeaseS: times.WorkerLease.Seconds(), CancelS: times.Cancel.Seconds()}
-		cl.State = config.StateLimits{RPS: 2000, WriteRPS: 400, ValueKB: 8, TxnOps: 8}
+		cl.State = config.StateLimits{RPS: cmp.Or(c.plan.StateRPS, 2000), WriteRPS: cmp.Or(c.plan.WriteRPS, 400), ValueKB: 8, TxnOps: 8}
 		cl.Cloud = config.CloudLimits{RPS: 10, ListLagS: 0.2}
 		cl.Resources = config.Resources{CoreShare: 0.5, RAMMB: 128, Sockets: 1024}
 		n.opt.LeaseMS = c.plan.Times.ControllerLease.Milliseconds()
--- a/internal/standin/soak.go
+++ b/internal/standin/soak.go
@@ -19,8 +19,12 @@
 	Nodes   int
 	Workers int
 	Length  time.Duration
-	Binary  string
-	Dir     string // for settings and logs
+	// Questions is how many times a second users ask all controllers about jobs that nobody
+	// submitted, each of which takes a read; StateRPS and WriteRPS are the limits of the
+	// state service, 0: plenty.
+	Questions, StateRPS, WriteRPS float64
+	Binary                        string
+	Dir                           string // for settings and logs
 	// Only, if not empty, are the numbers of the troubles that are played.
 	Only []int
 }
@@ -29,11 +33,16 @@
 type SoakResult struct {
 	Jobs, Cancelled, Tasks, Answers int
 	Troubles                        int
-	Broken                          []string
+	// Questions counts those about jobs that nobody submitted, Refused the answers that
+	// could not be given. Unanswered is the longest that a job was asked about in vain.
+	Questions, Refused int
+	Unanswered         time.Duration
+	Broken             []string
 }
 
 func (r SoakResult) String() string {
-	return fmt.Sprintf("%d jobs, %d called cancelled, %d tasks started, %d answers to users, %d troubles, %d breaks", r.Jobs, r.Cancelled, r.Tasks, r.Answers, r.Troubles, len(r.Broken))
+	return fmt.Sprintf("%d jobs, %d called cancelled, %d tasks started, %d answers to users, %.1f s unanswered at most, %d other questions, %d refused, %d troubles, %d breaks",
+		r.Jobs, r.Cancelled, r.Tasks, r.Answers, r.Unanswered.Seconds(), r.Questions, r.Refused, r.Troubles, len(r.Broken))
 }
 
 // SoakTimes keep about the proportions of the real settings (leases of 4 and 45 s, 70 s to
@@ -110,7 +119,7 @@
 // PlaySoak plays a soak to its end.
 func PlaySoak(p SoakPlan) (SoakResult, error) {
 	c, err := NewCluster(ClusterPlan{Seed: p.Seed, Nodes: p.Nodes, Machines: p.Workers, Teams: []string{"kigali", "rubavu", "karongi"},
-		Binary: p.Binary, Dir: p.Dir, Times: SoakTimes()})
+		Binary: p.Binary, Dir: p.Dir, Times: SoakTimes(), StateRPS: p.StateRPS, WriteRPS: p.WriteRPS})
 	if err != nil {
 		return SoakResult{}, err
 	}
@@ -124,6 +133,13 @@
 			s.user(i, began.Add(p.Length-4*time.Second))
 		}()
 	}
+	if p.Questions > 0 {
+		users.Add(1)
+		go func() {
+			defer users.Done()
+			s.askAboutOthers(began.Add(p.Length - 4*time.Second))
+		}()
+	}
 	played := 0
 	for i, t := range p.Troubles() {
 		if len(p.Only) > 0 && !slices.Contains(p.Only, i) {
--- a/internal/standin/soak_check.go
+++ b/internal/standin/soak_check.go
@@ -78,7 +78,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := SoakResult{Jobs: len(s.jobs), Answers: s.answers, Troubles: troubles, Broken: s.broken}
+	r := SoakResult{Jobs: len(s.jobs), Answers: s.answers, Troubles: troubles, Questions: s.questions, Refused: s.refused, Unanswered: s.unanswered, Broken: s.broken}
 	told := map[string]time.Time{}
 	for _, j := range s.jobs {
 		if !j.cancelled.IsZero() {
--- a/internal/standin/soak_user.go
+++ b/internal/standin/soak_user.go
@@ -17,6 +17,9 @@
 	jobs    []*soakJob
 	answers int
 	broken  []string
+	// questions and refused count what askAboutOthers asked, and what was not answered.
+	questions, refused int
+	unanswered         time.Duration // the longest
 }
 
 // soakJob is a job as its user knows it.
@@ -26,6 +29,53 @@
 	asked     bool      // for cancellation
 	told      string    // the final state that was told
 	cancelled time.Time // when "cancelled" was first told
+	answered  time.Time // when a question about it was last answered, or it was accepted
+}
+
+// maxUnanswered is how long a job may be asked about in vain.
+const maxUnanswered = 75 * time.Second
+
+// askAboutOthers asks all controllers about jobs that nobody submitted, at a pace that does
+// not wait for answers.
+func (s *soak) askAboutOthers(until time.Time) {
+	r := rand.New(rand.NewPCG(s.plan.Seed, 99))
+	var wait sync.WaitGroup
+	for time.Now().Before(until) {
+		id := fmt.Sprintf("job-%06d", 800_000+r.IntN(100_000))
+		for node := range s.cluster.nodes {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				s.askAboutOther(node, id)
+			}()
+		}
+		s.cluster.pause(time.Duration(float64(time.Second) / s.plan.Questions))
+	}
+	wait.Wait()
+}
+
+func (s *soak) askAboutOther(node int, id string) {
+	status, _ := s.ask(node, "GET", "/submissions/"+id, nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.questions++
+	switch status {
+	case 200:
+		s.brokenLocked("invented: %s at node %d", id, node)
+	case 404:
+	default:
+		s.refused++
+	}
+}
+
+// noteAnswer notes that a question about a job was answered. The lock is held.
+func (s *soak) noteAnswer(j *soakJob, now time.Time) {
+	waited := now.Sub(j.answered)
+	s.unanswered = max(s.unanswered, waited)
+	if waited > maxUnanswered {
+		s.brokenLocked("forgotten: no question about %s was answered for %.1f s", j.id, waited.Seconds())
+	}
+	j.answered = now
 }
 
 // user submits one job after the other until the end; it cancels most, asks all nodes within
@@ -80,6 +130,7 @@
 		switch status {
 		case 200, 201:
 			s.mu.Lock()
+			j.answered = time.Now()
 			s.jobs = append(s.jobs, j)
 			s.mu.Unlock()
 			return true
@@ -142,6 +193,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answers++
+	s.noteAnswer(j, time.Now())
 	if before != "" && answer.State != before {
 		s.brokenLocked("went_back: %s was %s, node %d calls it %s", j.id, before, node, answer.State)
 	}
