--- a/internal/core/pipelines_test.go
+++ b/internal/core/pipelines_test.go
@@ -646,6 +646,18 @@
 			h.watchBlocked = wire.PrefixJob
 			h.run(11 * sec)
 		}},
+		{"what its watch brought was long on its way", func(h *harness) {
+			h.watchBlocked = wire.PrefixJob
+			h.run(7 * sec)
+			for i, w := range h.watches {
+				if w.Req.(Watch).Prefix == wire.PrefixJob {
+					h.watches = slices.Delete(h.watches, i, i+1)
+					h.step(Result{ID: w.ID, Status: 200, Body: &wire.Events{Revision: h.rev}})
+					break
+				}
+			}
+			h.run(4 * sec) // 11 s since it was asked for
+		}},
 		{"it is listing anew", func(h *harness) {
 			h.watchBlocked = wire.PrefixJob
 			h.c.own.job.ready, h.c.own.job.busy = false, true
