Cancellations are told for as long as they matter; the age of a view counts from when it was asked for

Mend: the count is what the state service records within cancel_s, from settings; the age counts from the asking, as everywhere else, and a watch waits for 2 s, not 5, while a job is held anywhere, so that the bound of 10 s holds in calm. The watch of groups' records keeps to a part of the requests, too.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -349,13 +349,14 @@
 	}
 	c.readUnknown()
 	var due []*job
-	held := false
+	held, heldHere := false, false // by any owner, by this one
 	for _, j := range c.jobs.open {
 		r := j.run
+		held = held || j.held()
 		if r == nil || c.acting(j.share) == nil {
 			continue
 		}
-		held = held || j.held()
+		heldHere = heldHere || j.held()
 		if j.dependencyCancelled && !r.ending {
 			continue // recordDependents does what is due
 		}
@@ -364,9 +365,13 @@
 		}
 	}
 	every := jobWatchEvery
-	if held {
+	if heldHere {
 		every = heldWatchEvery
 	}
+	c.own.job.block = watchBlock
+	if held {
+		c.own.job.block = heldWatchBlock
+	}
 	c.own.job.every = c.watchEvery(every, jobWatchPart)
 	slices.SortFunc(due, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
 	for _, j := range due {
--- a/internal/core/ownership.go
+++ b/internal/core/ownership.go
@@ -78,8 +78,8 @@
 	for i := range shares {
 		o.shares = append(o.shares, &share{id: i})
 	}
-	o.ctl = watched{prefix: wire.PrefixControl, every: 80 * micros.Millisecond, openedAt: -micros.Never, completeAt: -micros.Never}
-	o.job = watched{prefix: wire.PrefixJob, every: jobWatchEvery, openedAt: -micros.Never, completeAt: -micros.Never}
+	o.ctl = watched{prefix: wire.PrefixControl, every: controlWatchEvery, block: watchBlock, openedAt: -micros.Never, completeAt: -micros.Never}
+	o.job = watched{prefix: wire.PrefixJob, every: jobWatchEvery, block: watchBlock, openedAt: -micros.Never, completeAt: -micros.Never}
 	o.contact = -micros.Never
 }
 
@@ -209,7 +209,6 @@
 			return
 		}
 		c.applyEvents(body.Events)
-		w.seenAt = c.now
 		w.completeAt = max(w.completeAt, asked)
 		s.current = true
 		c.placementDue = true
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -38,9 +38,12 @@
 // other one that it does not hear its workers; as many as fit show that as well as all.
 const maxHeardBytes = 192 << 10
 
-// maxCancelled bounds the cancellations that a controller out of reach is yet to be
-// told of. Past it the oldest go first: tasks of theirs are gone by then.
-const maxCancelled = 10 * maxNamed
+// maxCancelled bounds the cancellations that a controller out of reach is yet to be told
+// of: as many as the state service records within the time that a cancellation has. Past it
+// the oldest go first: tasks of theirs are gone by then.
+func (c *Core) maxCancelled() int {
+	return max(10*maxNamed, int(c.cfg.WriteRPS*c.cfg.Cancel.Seconds())+maxNamed)
+}
 
 // spreadCancelled tells the other controllers of a cancellation, until each has
 // acknowledged: the owner of the job may have lost the state service, and so not know
@@ -55,8 +58,8 @@
 	for _, label := range c.cfg.Peers {
 		p := c.peers[label]
 		p.cancelled = append(p.cancelled, id)
-		if n := len(p.cancelled); n > maxCancelled {
-			p.cancelled = slices.Delete(p.cancelled, 0, n-maxCancelled)
+		if over := len(p.cancelled) - c.maxCancelled(); over > 0 {
+			p.cancelled = slices.Delete(p.cancelled, 0, over)
 		}
 	}
 }
@@ -180,7 +183,11 @@
 			return
 		}
 		p.gone = p.gone[min(told, len(p.gone)):]
-		p.cancelled = slices.DeleteFunc(p.cancelled, func(id string) bool { return slices.Contains(st.Cancelled, id) })
+		acknowledged := make(map[string]bool, len(st.Cancelled))
+		for _, id := range st.Cancelled {
+			acknowledged[id] = true
+		}
+		p.cancelled = slices.DeleteFunc(p.cancelled, func(id string) bool { return acknowledged[id] })
 		c.noteAbout(p, &resp.Status.About)
 		for _, id := range resp.Status.Quiet {
 			for _, o := range sent {
--- a/internal/core/pipelines.go
+++ b/internal/core/pipelines.go
@@ -146,6 +146,10 @@
 	})
 }
 
+// maxHeldViewAge is how old the view of jobs may be by which a held job is called pending,
+// counted from when what brought it was asked for.
+const maxHeldViewAge = 10 * micros.Second
+
 // mayWait: a job may be called pending as far as those go that it needs. Of one that
 // needs a cancelled job nobody is told so, and of a held one only while this node's
 // view of jobs is new enough to know: after an outage of the state service a
@@ -155,7 +159,7 @@
 		return !j.dependencyCancelled
 	}
 	w := &c.own.job
-	if !w.ready || c.now-w.seenAt > min(2*watchBlock, c.cfg.Cancel/2) {
+	if !w.ready || c.now-w.completeAt > min(maxHeldViewAge, c.cfg.Cancel/2) {
 		return false
 	}
 	return c.knowsAllNeeded(j)
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -48,7 +48,7 @@
 		return
 	}
 	q.ledger = quota.NewLedger(quota.Config{Shares: c.cfg.Shares, Timing: quota.DefaultTiming()})
-	q.watch = watched{prefix: wire.PrefixQuota, every: 80 * micros.Millisecond, openedAt: -micros.Never}
+	q.watch = watched{prefix: wire.PrefixQuota, every: c.watchEvery(controlWatchEvery, quotaWatchPart), block: watchBlock, openedAt: -micros.Never}
 	q.paths = make([][]string, len(c.cfg.Teams))
 	q.members = map[string][]int{}
 	q.tracer = quotaTracer{own: map[traceKey]openTrace{}, remote: map[traceKey]openTrace{}}
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -21,10 +21,10 @@
 	busy     bool
 	openedAt micros.Micros
 	every    micros.Micros
+	block    micros.Micros // how long a watch waits for changes
 	listed   map[string]bool
 	after    string
-	seenAt   micros.Micros // when it was last heard of: up to then all is known
-	first    uint64        // revision of the listing's first page
+	first    uint64 // revision of the listing's first page
 	// completeAt: all that stood then is known, unless it has left memory. It is when
 	// what brought it was asked for, since the answer may have been long on its way.
 	completeAt micros.Micros
@@ -45,6 +45,7 @@
 const (
 	controlWatchPart = 0.27
 	jobWatchPart     = 0.18
+	quotaWatchPart   = 0.10 // on top, where groups are kept
 )
 
 // watchEvery is the least time between two watches of a prefix: as given, or more where the
@@ -53,8 +54,12 @@
 	return max(every, micros.FromSeconds(1/(part*c.stateq.requests.rate)))
 }
 
-// watchBlock is how long a watch waits for changes.
-const watchBlock = 5 * micros.Second
+// watchBlock is how long a watch waits for changes. Where a job is held the view of jobs must
+// stay newer than maxHeldViewAge: two watches that bring nothing take less.
+const (
+	watchBlock     = 5 * micros.Second
+	heldWatchBlock = 2 * micros.Second
+)
 
 // follow keeps a prefix listed and watched.
 func (c *Core) follow(w *watched) {
@@ -71,15 +76,15 @@
 		c.listPage(w)
 		return
 	}
-	req, asked := Watch{Prefix: w.prefix, Since: w.since, WaitMS: watchBlock.Millis()}, c.now
-	c.askState(classLease, req, watchBlock+2*micros.Second, func(r Result) {
+	req, asked := Watch{Prefix: w.prefix, Since: w.since, WaitMS: w.block.Millis()}, c.now
+	c.askState(classLease, req, w.block+2*micros.Second, func(r Result) {
 		w.busy = false
 		switch body := r.Body.(type) {
 		case *wire.Events:
 			if r.Status != 200 {
 				break
 			}
-			c.own.contact, w.seenAt = c.now, c.now
+			c.own.contact = c.now
 			c.applyEvents(body.Events)
 			w.since = max(w.since, body.Revision)
 			w.completeAt = max(w.completeAt, asked)
@@ -127,7 +132,7 @@
 			c.dropUnlisted(w.listed, w.first)
 			c.dropUnlistedMachines()
 		}
-		w.ready, w.since, w.after, w.listed, w.seenAt = true, w.first, "", nil, c.now
+		w.ready, w.since, w.after, w.listed = true, w.first, "", nil
 		w.completeAt = max(w.completeAt, w.listFrom)
 		c.follow(w)
 	})
