--- a/internal/core/cancelled_test.go
+++ b/internal/core/cancelled_test.go
@@ -159,3 +159,39 @@
 		}
 	}
 }
+
+// A start that is carried out late. Seen by reading only, and by this test: a direct order
+// was not answered, and the record that raises its machine's token does not get through, so
+// that the order may be carried out as long as the machine's session lasts. Its job is
+// cancelled. The machine's reports were answered all the same, which went on renewing its
+// lease: nothing bounded when the task might yet start. Proof: once the time of the
+// cancellation is over, so is the machine's lease, and with it the session that the order names.
+func TestLateStartIsBounded(t *testing.T) {
+	h := meet(t, withPeer)
+	token := h.settle("vm-1")
+	h.submit(jobOf("job-000001", 1))
+	orders := h.orders()
+	if len(orders) != 1 {
+		t.Fatalf("%d orders, want the start", len(orders))
+	}
+	h.open = nil
+	h.late = wire.PrefixFleet // the raised token is never recorded
+	h.step(Result{ID: orders[0].ID})
+	if a := h.withdraw("job-000001"); a.Status != 200 {
+		t.Fatalf("withdrawal answered %d", a.Status)
+	}
+	told, leaseEnds, answered := h.now, h.now+h.c.cfg.WorkerLease, 0
+	for seq := uint64(20); h.now < told+3*h.c.cfg.Cancel && h.now < leaseEnds; seq++ {
+		if status, _ := h.checkin(report("vm-1", 1, seq, token)); status == 200 {
+			leaseEnds = h.now + h.c.cfg.WorkerLease
+			answered++
+		}
+		h.run(sec)
+	}
+	if answered == 0 {
+		t.Error("no report was answered")
+	}
+	if leaseEnds > told+h.c.cfg.Cancel {
+		t.Errorf("the order may start the task until %v s after its user was told, want at most %v s", (leaseEnds - told).Seconds(), h.c.cfg.Cancel.Seconds())
+	}
+}
