A machine's lease is not renewed for as long as a start of a cancelled job may be carried out on it

Mend: from Bounds.LateStart (cancel_s less the workers' lease and the margin) after the task was to be stopped its machine's reports are refused ('late_start' in 'reports refused'), so that the session ends in time, and the order with it. TestBounds checks the new bound for all its settings.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -54,8 +54,9 @@
 	since    micros.Micros
 	runAt    micros.Micros // when it was first seen running; 0: not yet
 	halt     int
-	haltAt   micros.Micros
-	prefetch bool // a done task run again for its image only; see prefetch.go
+	haltFrom micros.Micros // when it was first to be stopped in this way
+	haltAt   micros.Micros // when the stop was last sent
+	prefetch bool          // a done task run again for its image only; see prefetch.go
 	why      string
 	acted    bool // exited, and its end is on record or dealt with
 	// ordered is the token of the direct order that carried the start; 0: none.
--- a/internal/core/authority.go
+++ b/internal/core/authority.go
@@ -29,6 +29,7 @@
 	reasonHigherToken
 	reasonOutOfReach
 	reasonUnknownJob
+	reasonLateStart
 
 	reasonCount
 )
@@ -50,6 +51,7 @@
 	reasonHigherToken:  "higher_token",
 	reasonOutOfReach:   "out_of_reach",
 	reasonUnknownJob:   "unknown_job",
+	reasonLateStart:    "late_start",
 }
 
 func (r reason) String() string { return reasonNames[r] }
@@ -148,6 +150,9 @@
 		// runs out.
 		return refuse(reasonUnknownJob)
 	}
+	if c.holdsLateStart(m) {
+		return refuse(reasonLateStart)
+	}
 	if c.outOfReach(m) {
 		// What it says counts; what it is told does not arrive. No answer renews its
 		// lease by chance while we count on the end of that.
@@ -156,6 +161,21 @@
 	return allow(reasonAnswered)
 }
 
+// holdsLateStart: an order that was not answered may yet start a task on the machine whose
+// job is over, or is to be cancelled, and has been for so long that the machine's session,
+// which the order names, must end.
+func (c *Core) holdsLateStart(m *machine) bool {
+	if m.v.unclear == 0 {
+		return false
+	}
+	for _, att := range m.v.list {
+		if att.state == attemptUnclear && att.halt == haltHard && c.now >= att.haltFrom+c.bounds.LateStart {
+			return true
+		}
+	}
+	return false
+}
+
 // speaksFor: this node may tell of an open job from memory.
 func (c *Core) speaksFor(j *job) bool {
 	s := c.acting(j.share)
--- a/internal/core/fence.go
+++ b/internal/core/fence.go
@@ -17,6 +17,9 @@
 	// Blind: for this long after its view of jobs was last complete an owner may do so
 	// without knowing which jobs its predecessors have ended since.
 	Blind micros.Micros
+	// LateStart: for this long after a task was to be stopped whose start may yet be carried
+	// out, the lease of its machine may be renewed.
+	LateStart micros.Micros
 	// WorkerGone: a machine whose last answered report was answered this long
 	// ago holds no task any more.
 	WorkerGone micros.Micros
@@ -60,7 +63,9 @@
 		// Whoever it was that ended a job unknown to this owner, its user was told after
 		// the view was complete. Counted from a claim, the times of owners that follow
 		// one another would add up.
-		Blind:         extra,
+		Blind: extra,
+		// With the machine's session the order ends that may start the task.
+		LateStart:     extra,
 		WorkerGone:    addDrift(workerLease) + slip,
 		SuccessorFree: addDrift(extra+workerLease) + 3*slip,
 	}
--- a/internal/core/fence_test.go
+++ b/internal/core/fence_test.go
@@ -38,6 +38,10 @@
 			if last := slow(b.Blind) + slow(worker); b.Blind > 0 && last > cancel {
 				t.Errorf("a blind owner's machine may keep a cancelled job until %v, allowed is %v", last, cancel)
 			}
+			// Told at the earliest right after the task was to be stopped.
+			if last := slow(b.LateStart) + slow(worker); b.LateStart > 0 && last > cancel {
+				t.Errorf("a start of a cancelled job may be carried out until %v, allowed is %v", last, cancel)
+			}
 			if b.WorkerGone < slow(worker) {
 				t.Errorf("a machine counts as free after %v, its lease may last %v", b.WorkerGone, slow(worker))
 			}
--- a/internal/core/preempt.go
+++ b/internal/core/preempt.go
@@ -282,6 +282,7 @@
 	}
 	if att.halt < how {
 		att.halt = how
+		att.haltFrom = c.now
 		att.haltAt = -micros.Never
 		c.touch(att.m)
 		c.queueOrder(att.m)
