--- a/internal/core/unknown_jobs_test.go
+++ b/internal/core/unknown_jobs_test.go
@@ -184,3 +184,39 @@
 		t.Error("nothing says why the report was refused")
 	}
 }
+
+// A read that was answered before its job ended, and that comes after the end has left
+// memory, does not bring the job back: its tasks would be started again. Found by reading.
+func TestLateReadOfEndedJob(t *testing.T) {
+	h := meet(t, func(c *Config) {
+		withPeer(c)
+		c.FinalJobs = 1
+	})
+	h.put(wire.JobKey("job-000001"), wire.NewJobRecord(new(jobOf("job-000001", 1)), 1))
+	stands := h.keys[wire.JobKey("job-000001")]
+	h.c.jobs.open["job-000001"].run.unsure = true // so that a question is answered by a read
+	h.stateDown = true
+	h.poll("job-000001")
+	held := h.held
+	h.held, h.stateDown = nil, false
+	h.put(wire.JobKey("job-000001"), wire.JobRecord{State: wire.StateCancelled, Tasks: 1})
+	h.put(wire.JobKey("job-000002"), wire.JobRecord{State: wire.StateDone, Tasks: 1})
+	if h.c.knows("job-000001") {
+		t.Fatal("the job is still known: the case is not what it should be")
+	}
+	reads := 0
+	for _, c := range held {
+		if get, ok := c.Req.(GetKey); ok && get.Key == stands.Key {
+			reads++
+			h.result(c, 200, &stands)
+		} else {
+			h.call(c)
+		}
+	}
+	if reads != 1 || h.c.jobs.open["job-000001"] != nil {
+		t.Errorf("%d reads were answered, and the job is open: %v", reads, h.c.jobs.open["job-000001"] != nil)
+	}
+	if got := h.answers[h.reply].Status; got != 503 {
+		t.Errorf("answered %d, want 503: what was read is no longer so", got)
+	}
+}
