What is learnt late of a job does not open it again once its end has left memory

Mend: it stands where records are learnt, for reads, hints and answers to a creation alike: a record at or below the revision that the watch has passed, of a job that is neither open nor remembered, is no longer so. Such a read counts as no answer; the next one tells.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -192,6 +192,9 @@
 		j.mark = max(j.mark, mark)
 		return
 	}
+	if c.outdated(mark) {
+		return
+	}
 	sub := rec.Job()
 	if sub == nil || sub.Tasks < 1 || sub.Tasks > wire.MaxTasks {
 		c.jobs.unusable[id] = true
@@ -215,6 +218,11 @@
 	}
 }
 
+// outdated: a record of an unfinished job that this node does not know is no longer so. The
+// watch has passed it, so that the job was known, and has ended since; its end has left
+// memory. What is read, hinted or answered late must not bring such a job back.
+func (c *Core) outdated(mark uint64) bool { return mark <= c.own.job.since }
+
 // startRun begins an owner's care for a job.
 func (c *Core) startRun(s *share, j *job) {
 	j.run = &run{
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -234,11 +234,7 @@
 	case req.Hint != nil:
 		var rec wire.JobRecord
 		if err := wire.Decode(req.Hint.Record, &rec); err == nil && wire.ValidID(req.Hint.ID) {
-			// What the watch has passed is known or over. A copy that comes late must
-			// not bring back a job whose end is no longer in memory.
-			if req.Hint.Mark > c.own.job.since {
-				c.learnJob(req.Hint.ID, rec, req.Hint.Mark)
-			}
+			c.learnJob(req.Hint.ID, rec, req.Hint.Mark)
 			resp.OK = true
 		}
 	case req.Release != nil:
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -167,6 +167,9 @@
 		}
 		c.own.contact = c.now
 		c.applyPut(kv.Key, kv.Value, kv.Version)
+		if id := kv.Key[len(wire.PrefixJob):]; !c.knows(id) && !c.jobs.unusable[id] {
+			return 0 // it has ended since; see outdated
+		}
 		return 200
 	case 404:
 		c.own.contact = c.now
