--- a/internal/core/questions_test.go
+++ b/internal/core/questions_test.go
@@ -244,3 +244,33 @@
 		}
 	})
 }
+
+// Who is refused is told to come back when all that wait can have been read, and before long.
+func TestRetryAfterFitsBacklog(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		waiting     int
+		least, most int
+	}{
+		{"nothing waits", 0, 1, 1},
+		{"a few", 8, 2, 3}, // 4.3 reads a second are promised
+		{"hundreds", 300, longestRetryAfter, longestRetryAfter},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := meet(t, fewRequests)
+			h.stateDown = true // nothing is answered
+			for i := range tc.waiting {
+				h.poll(questionID(i))
+			}
+			h.poll(questionID(tc.waiting))
+			reply := h.reply
+			h.run(readTimeout + 300*ms)
+			if a := h.answers[reply]; tc.waiting > 100 && (a.Status != 503 || a.RetryAfterS < tc.least || a.RetryAfterS > tc.most) {
+				t.Errorf("answered %d, to come back after %d s, want 503 and %d s", a.Status, a.RetryAfterS, tc.least)
+			}
+			if got := h.c.retryAfter(); got < tc.least || got > tc.most {
+				t.Errorf("%d s with %d jobs waiting, want %d to %d s", got, len(h.c.reads.byJob), tc.least, tc.most)
+			}
+		})
+	}
+}
