--- a/internal/core/questions_test.go
+++ b/internal/core/questions_test.go
@@ -274,3 +274,21 @@
 		})
 	}
 }
+
+// A submission that can't be taken in an outage is not told to wait for the backlog of
+// questions: its user tries for a minute in all, and each try counts. Found by reading once more:
+// with 300 jobs asked about in vain it was told to come back after 10 s, not 1.
+func TestSubmissionComesBackSoon(t *testing.T) {
+	h := meet(t, fewRequests)
+	h.stateDown, h.refused = true, true
+	for i := range 300 {
+		h.poll(questionID(i))
+		h.run(20 * ms)
+	}
+	a := h.ask(func(r ReplyID) Input { return Submit{Reply: r, Job: jobOf("job-000002", 1)} })
+	reply := h.reply
+	h.run(2 * sec)
+	if a = h.answers[reply]; a.Status != 503 || a.RetryAfterS != 1 {
+		t.Errorf("answered %d, to come back after %d s, want 503 and 1 s", a.Status, a.RetryAfterS)
+	}
+}
