A submission that can't be taken is told to come back after a second, whatever is asked about

Symptom: in an outage with 300 jobs asked about in vain a submission got Retry-After 10. Cause: the time by the backlog of questions, new in this work, went with every 503 about a job. Mend: a submission whose own write failed gets 1 s, as before.

--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -299,6 +299,10 @@
 		switch status {
 		case 200:
 			c.create(in.Job, func(status int, state string) {
+				if status == 503 {
+					c.answer(in.Reply, 503, nil, 1) // its own write failed; no backlog is waited for
+					return
+				}
 				c.answerJob(in.Reply, id, peer.Answer{Status: status, State: state})
 			})
 		case 404:
