--- a/internal/core/questions_test.go
+++ b/internal/core/questions_test.go
@@ -292,3 +292,20 @@
 		t.Errorf("answered %d, to come back after %d s, want 503 and 1 s", a.Status, a.RetryAfterS)
 	}
 }
+
+// Nor is a cancellation that can't be recorded: the same, of the job's owner.
+func TestWithdrawalComesBackSoon(t *testing.T) {
+	h := meet(t, fewRequests)
+	h.submit(jobOf("job-000002", 1))
+	h.stateDown, h.refused = true, true
+	for i := range 100 { // not for so long that the lease is over
+		h.poll(questionID(i))
+		h.run(20 * ms)
+	}
+	h.withdraw("job-000002")
+	reply := h.reply
+	h.run(sec)
+	if a := h.answers[reply]; a.Status != 503 || a.RetryAfterS != 1 {
+		t.Errorf("answered %d, to come back after %d s, want 503 and 1 s", a.Status, a.RetryAfterS)
+	}
+}
