Only questions wait for the backlog of reads; submissions and withdrawals come back after a second

Symptom: in an outage with 100 jobs asked about in vain a withdrawal got Retry-After 10. Cause: the backlog's time stood in the answer that all requests about a job share, and the mend for submissions at one of its callers. Mend: the caller says the time; the special case is gone.

--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -60,8 +60,19 @@
 	return false
 }
 
-// answerJob answers a user about a job.
-func (c *Core) answerJob(r ReplyID, id string, a peer.Answer) {
+// answerQuestion answers a user who asks about a job; who is refused waits for the backlog of
+// reads.
+func (c *Core) answerQuestion(r ReplyID, id string, a peer.Answer) {
+	c.answerJob(r, id, a, c.retryAfter())
+}
+
+// soon is the time after which a user comes back whose submission or withdrawal can't be
+// taken: each try counts, since all are made within a minute.
+const soon = 1
+
+// answerJob answers a user about a job; one who is refused is to come back after so many
+// seconds.
+func (c *Core) answerJob(r ReplyID, id string, a peer.Answer, retryAfter int) {
 	switch a.Status {
 	case 200, 201:
 		if a.State == wire.StateCancelled {
@@ -74,7 +85,7 @@
 	case 400, 404, 422:
 		c.answer(r, a.Status, nil, 0)
 	default:
-		c.answer(r, 503, nil, c.retryAfter())
+		c.answer(r, 503, nil, retryAfter)
 	}
 }
 
@@ -84,7 +95,7 @@
 		c.answer(in.Reply, 404, nil, 0)
 		return
 	}
-	c.jobState(in.ID, func(a peer.Answer) { c.answerJob(in.Reply, in.ID, a) })
+	c.jobState(in.ID, func(a peer.Answer) { c.answerQuestion(in.Reply, in.ID, a) })
 }
 
 // jobState finds out how a job stands: a final state from anywhere, all else
@@ -203,7 +214,7 @@
 		c.answer(in.Reply, 404, nil, 0)
 		return
 	}
-	c.withdrawJob(in.ID, true, func(a peer.Answer) { c.answerJob(in.Reply, in.ID, a) })
+	c.withdrawJob(in.ID, true, func(a peer.Answer) { c.answerJob(in.Reply, in.ID, a, soon) })
 }
 
 func (c *Core) withdrawJob(id string, look bool, done func(peer.Answer)) {
@@ -275,7 +286,7 @@
 	}
 	id := in.Job.ID
 	if c.knows(id) {
-		c.jobState(id, func(a peer.Answer) { c.answerJob(in.Reply, id, a) })
+		c.jobState(id, func(a peer.Answer) { c.answerQuestion(in.Reply, id, a) })
 		return
 	}
 	if len(c.types) == 0 || !c.own.job.ready {
@@ -299,11 +310,7 @@
 		switch status {
 		case 200:
 			c.create(in.Job, func(status int, state string) {
-				if status == 503 {
-					c.answer(in.Reply, 503, nil, 1) // its own write failed; no backlog is waited for
-					return
-				}
-				c.answerJob(in.Reply, id, peer.Answer{Status: status, State: state})
+				c.answerJob(in.Reply, id, peer.Answer{Status: status, State: state}, soon)
 			})
 		case 404:
 			c.refuseSubmission(in.Reply, id, 422)
@@ -332,7 +339,7 @@
 			c.answer(r, status, nil, 0)
 			return
 		}
-		c.answerJob(r, id, a)
+		c.answerQuestion(r, id, a)
 	})
 }
 
