Read once more: one order of turns that knows of the bound under way, one predicate of fed tasks

stateQueue.next asked three times whether anything may go; order does now. worstWait counts the classes that write plainly. The check at run time and the guard of a renewal share fedStanding. Behaviour is as before; core's tests pass unchanged.

--- a/internal/core/authority.go
+++ b/internal/core/authority.go
@@ -230,7 +230,7 @@
 		if c.owesStop(att) {
 			c.invariantFails("a renewal stops cancelled tasks", "task", wire.TaskName(att.key.job, att.idx), "machine", m.id, "mark", s.mark)
 		}
-		if att.job == nil && att.onMachine() && att.halt != haltHard && c.standingOf(s, att.key.job, att.key.attempt, att.since) != standingOpen {
+		if c.fedStanding(s, att) != standingOpen {
 			c.invariantFails("a renewal feeds no task of an unknown job", "task", wire.TaskName(att.key.job, att.idx), "machine", m.id, "mark", s.mark)
 		}
 	}
--- a/internal/core/statequeue.go
+++ b/internal/core/statequeue.go
@@ -153,24 +153,19 @@
 }
 
 // next takes off the request that is to be sent now. If there is none, wait says how long
-// until there may be; 0 if nothing waits.
+// until there may be; 0 if nothing waits, or nothing may go before an answer comes.
 func (q *stateQueue) next(now micros.Micros) (item queued, ok bool, wait micros.Micros) {
 	q.requests.fill(now)
 	q.writes.fill(now)
-	if q.empty() {
+	order := q.order(now)
+	if len(order) == 0 {
 		return queued{}, false, 0
 	}
-	if q.full() && q.waiting(classLease) == 0 {
-		return queued{}, false, 0 // until an answer comes
-	}
 	if wait := q.requests.until(1); wait > 0 {
 		return queued{}, false, wait
 	}
 	writesHeld := false // for a transaction that goes before
-	for _, class := range q.order(now) {
-		if class != classLease && q.full() {
-			break
-		}
+	for _, class := range order {
 		i, blocked := q.firstSendable(class, writesHeld)
 		if blocked > 0 && (wait == 0 || blocked < wait) {
 			wait = blocked
@@ -183,9 +178,16 @@
 	return queued{}, false, wait
 }
 
-// order lists the classes in which something waits, in the order of their turns.
+// order lists the classes in which something waits, in the order of their turns; leases
+// alone while as much else is under way as may be.
 func (q *stateQueue) order(now micros.Micros) []requestClass {
-	var due, rest []requestClass
+	var order, due, rest []requestClass
+	if q.waiting(classLease) > 0 {
+		order = append(order, classLease)
+	}
+	if q.full() {
+		return order
+	}
 	for class := classLease + 1; class < classCount; class++ {
 		switch {
 		case len(q.queues[class]) == 0:
@@ -196,10 +198,6 @@
 		}
 	}
 	slices.SortStableFunc(due, func(a, b requestClass) int { return cmp.Compare(q.dueAt[a], q.dueAt[b]) })
-	order := make([]requestClass, 0, classCount)
-	if len(q.queues[classLease]) > 0 {
-		order = append(order, classLease)
-	}
 	return append(append(order, due...), rest...)
 }
 
@@ -271,19 +269,17 @@
 // the other classes hold, if no transaction has more than so many changes: until its class
 // is due again, and for one request of each other class that is due before.
 func (q *stateQueue) worstWait(class requestClass, changes float64) micros.Micros {
-	turnaround := q.turnaround(class, 0)
-	writers := 0.0
-	if promises[class].writes > 0 {
-		turnaround = q.turnaround(class, changes)
-		writers = 1
+	if promises[class].writes == 0 {
+		changes = 0 // reads wait for no writes
 	}
-	for other := classLease + 1; other < classCount; other++ {
-		if other != class && promises[other].writes > 0 && writers > 0 {
+	writers := 0.0
+	for _, p := range promises {
+		if p.writes > 0 {
 			writers++
 		}
 	}
 	requests := micros.FromSeconds(float64(classCount) / (q.requests.rate * (1 - leasePart)))
-	return turnaround + requests + micros.FromSeconds(writers*changes/q.writes.rate)
+	return q.turnaround(class, changes) + requests + micros.FromSeconds(writers*changes/q.writes.rate)
 }
 
 // askState queues a request to the state service. done is called exactly
--- a/internal/core/unknownjobs.go
+++ b/internal/core/unknownjobs.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"garnethitch/internal/micros"
 	"garnethitch/internal/wire"
 )
@@ -79,13 +81,16 @@
 // holdsUnknown: a machine whose list is believed holds a task that may be of a job that
 // ended at any time.
 func (c *Core) holdsUnknown(s *share, m *machine) bool {
-	for _, att := range m.v.list {
-		if att.job == nil && att.onMachine() && att.halt != haltHard &&
-			c.standingOf(s, att.key.job, att.key.attempt, att.since) == standingUnknown {
-			return true
-		}
+	return slices.ContainsFunc(m.v.list, func(att *attempt) bool { return c.fedStanding(s, att) == standingUnknown })
+}
+
+// fedStanding is the standing of a task that goes on if its machine's lease is renewed;
+// open where its job is known, or its stop goes out.
+func (c *Core) fedStanding(s *share, att *attempt) standing {
+	if att.job != nil || !att.onMachine() || att.halt == haltHard {
+		return standingOpen
 	}
-	return false
+	return c.standingOf(s, att.key.job, att.key.attempt, att.since)
 }
 
 // listsUnknown is the same of a report that is not believed yet.
