Review: case 3 with tasks of quote-runs

The case now uses tasks of one CPU, as quote-runs has, in place of a quarter. A job whose spot machine is taken back waits for more than 90 s while two machines of other shards have 3 CPUs free each, and none is rented: the sum of all CPUs counts, not those of the shard.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs the case: status 1 if the rule was broken, 0 if it held, 2 if the case can't run.
 # TROUBLE=0 leaves the disruption out. What was sent, answered and run goes to record.txt.
+export TROUBLE="${TROUBLE:-1}"
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -87,17 +87,8 @@
 	w.watchWaiting(id, over, func() bool { return !m.gone() && len(w.tasksOn()) == 0 })
 }
 
-// paddleJob is a job of one task of the size of a paddle-sweep's.
-func paddleJob(id string, run time.Duration) *job {
-	return &job{
-		id: id, class: "paddle-sweep", rank: "best_effort", loads: 1, cpus: 0.25, memGB: 0.9, image: "img-07", imageGB: 0.5,
-		run: run, spot: true,
-	}
-}
-
-// smallShare: three machines hold a task of a quarter of a CPU each; the cloud takes one of them
-// back.
-func smallShare(w *world, trouble bool) {
+// lostShare: three machines hold a task of one CPU each; the cloud takes one of them back.
+func lostShare(w *world, trouble bool) {
 	for _, zone := range w.zones {
 		w.cloud.capacity[place(zone, true)] = 4
 		w.cloud.capacity[place(zone, false)] = 2
@@ -115,7 +106,7 @@
 		if i == 0 {
 			run = 60 * time.Second
 		}
-		if !w.submit(paddleJob(id, run)) {
+		if !w.submit(quoteJob(id, 1, run)) {
 			w.fail("%s is not accepted", id)
 		}
 	}
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -11,9 +11,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(w *world, trouble bool){
-	"pipeline":    pipeline,
-	"avoided":     avoided,
-	"small-share": smallShare,
+	"pipeline":   pipeline,
+	"avoided":    avoided,
+	"lost-share": lostShare,
 }
 
 func main() {
