--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,7 @@
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/service.toml)
 [ -x target/review/world ] && [ -n "$run" ] || exit 2
 dir=$(mktemp -d) || exit 2
-target/review/world lost-share "$here/record.txt" "$dir" "$run" &
+target/review/world small-task "$here/record.txt" "$dir" "$run" &
 world=$!
 trap 'kill -9 $world 2>/dev/null' INT TERM
 wait $world
--- a/review/world/main.go
+++ b/review/world/main.go
@@ -13,7 +13,7 @@
 var cases = map[string]func(w *world, trouble bool){
 	"pipeline":   pipeline,
 	"avoided":    avoided,
-	"lost-share": lostShare,
+	"small-task": smallTask,
 }
 
 func main() {
