Review: stand-ins under testdata, ports below the outgoing ones, the rule's machine with room is any

The root's checks read every Go file but those under testdata, so the stand-ins lie there. A machine that fits and has room is looked for anew at each moment, as the rule says; one that is sick, is to be taken back or still boots does not count. Controllers get ports that the system gives to no outgoing connection: one of many runs beside others could not start for that.

--- a/review/world/cases.go
+++ b/review/testdata/world/cases.go
@@ -6,6 +6,9 @@
 // while a machine that fits has room and its team is under its limit."
 const waitBound = 90 * time.Second
 
+// lastCheck is when a case gives up watching.
+const lastCheck = 115 * time.Second
+
 func quoteJob(id string, cpus float64, run time.Duration) *job {
 	return &job{
 		id: id, class: "quote-runs", rank: "standard", loads: 1, cpus: cpus, memGB: 2.2, image: "img-01", imageGB: 0.6,
@@ -13,27 +16,42 @@
 	}
 }
 
-// watchWaiting polls the job until the bound has passed since the troubles were over, and ends the
-// case: the rule is broken if all that time no task of the job was on a machine although has
-// reported a machine with room.
-func (w *world) watchWaiting(id string, over time.Time, hasRoom func() bool) {
-	startsBefore := w.startsOf(id)
+// watchWaiting polls a job of one task and ends the case: the rule is broken once the job has waited
+// for longer than the bound, since the troubles were over, while a machine that fits had room.
+func (w *world) watchWaiting(j *job, over time.Time) {
+	startsBefore := w.startsOf(j.id)
+	waitingSince := over
 	nextPoll := time.Now()
-	for polls := 0; time.Since(over) <= waitBound+time.Second; {
-		if w.isDone(id+"/0") || w.startsOf(id) > startsBefore || w.isOn(id+"/0") {
-			w.finish(true, "%s runs or is done %.1f s after the troubles were over", id, time.Since(over).Seconds())
+	for polls := 0; time.Since(w.began) < lastCheck; time.Sleep(100 * time.Millisecond) {
+		if w.isDone(j.id+"/0") || w.startsOf(j.id) > startsBefore || w.isOn(j.id+"/0") {
+			w.finish(true, "%s runs or is done %.1f s after the troubles were over", j.id, time.Since(over).Seconds())
+		}
+		if !w.hasRoom(j) {
+			waitingSince = time.Now()
 		}
-		if !hasRoom() {
-			w.fail("no machine that fits has room")
+		if waited := time.Since(waitingSince); waited > waitBound {
+			w.finish(false, "since the troubles were over %s has waited for %.1f s beside a machine that fits and has room", j.id, waited.Seconds())
 		}
 		if time.Now().After(nextPoll) {
-			w.poll(id, w.nodes[polls%len(w.nodes)])
+			w.poll(j.id, w.nodes[polls%len(w.nodes)])
 			polls++
 			nextPoll = time.Now().Add(5 * time.Second)
 		}
-		time.Sleep(100 * time.Millisecond)
 	}
-	w.finish(false, "%s has waited for more than %.0f s since the troubles were over, beside a machine that fits and has room", id, waitBound.Seconds())
+	w.finish(true, "%s did not wait for %.0f s beside a machine that fits and has room", j.id, waitBound.Seconds())
+}
+
+// hasRoom reports whether a machine that the job may use is up, well and has room for one of its
+// tasks.
+func (w *world) hasRoom(j *job) bool {
+	w.cloud.mu.Lock()
+	defer w.cloud.mu.Unlock()
+	for _, m := range w.cloud.machines {
+		if (!m.spot || j.spot) && m.hasRoom(j) {
+			return true
+		}
+	}
+	return false
 }
 
 func (w *world) isOn(name string) bool {
@@ -71,9 +89,9 @@
 		m.setSick(true)
 	}
 	w.startNodes()
-	const id = "job-000412"
-	if !w.submit(quoteJob(id, 1, 20*time.Second)) {
-		w.fail("%s is not accepted", id)
+	j := quoteJob("job-000412", 1, 20*time.Second)
+	if !w.submit(j) {
+		w.fail("%s is not accepted", j.id)
 	}
 	over := w.at(14)
 	w.sleepUntil(over)
@@ -81,10 +99,10 @@
 		m.setSick(false)
 		over = time.Now()
 	} else {
-		w.await(60, id+" is done", func() bool { return w.isDone(id + "/0") })
-		w.finish(true, "%s is done", id)
+		w.await(60, j.id+" is done", func() bool { return w.isDone(j.id + "/0") })
+		w.finish(true, "%s is done", j.id)
 	}
-	w.watchWaiting(id, over, func() bool { return !m.gone() && len(w.tasksOn()) == 0 })
+	w.watchWaiting(j, over)
 }
 
 // paddleJob is a job of one task of the size of a paddle-sweep's.
@@ -129,5 +147,5 @@
 	}
 	m.takeBack(8 * time.Second)
 	w.await(30, m.name+" is gone", m.gone)
-	w.watchWaiting(ids[0], time.Now(), func() bool { return !others[0].gone() || !others[1].gone() })
+	w.watchWaiting(w.jobOf(ids[0]+"/0"), time.Now())
 }
--- a/review/world/machine.go
+++ b/review/testdata/world/machine.go
@@ -92,6 +92,28 @@
 	m.w.record("machine %s is gone", m.name)
 }
 
+// hasRoom reports whether the machine is up, well, stays, and has room for a task of the job.
+func (m *machine) hasRoom(j *job) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.over || m.sick || !m.takenAt.IsZero() || time.Now().Before(m.upAt) {
+		return false
+	}
+	cpus, mem := m.inUse()
+	return cpus+j.cpus <= typeCPUs+1e-6 && mem+j.memGB <= typeMemGB+1e-6
+}
+
+// inUse returns what the tasks on the machine take, those that fetch their image included.
+func (m *machine) inUse() (cpus, memGB float64) {
+	for _, l := range m.loads {
+		if l.stance != "exited" {
+			cpus += m.w.jobOf(l.name).cpus
+			memGB += m.w.jobOf(l.name).memGB
+		}
+	}
+	return cpus, memGB
+}
+
 // takeBack has the cloud take the machine back after a notice.
 func (m *machine) takeBack(notice time.Duration) {
 	m.mu.Lock()
@@ -295,14 +317,7 @@
 		l.stance, l.cause = "exited", "in_use"
 		return
 	}
-	cpus, mem := 0.0, 0.0
-	for _, o := range m.loads {
-		if o.stance != "exited" {
-			cpus += m.w.jobOf(o.name).cpus
-			mem += m.w.jobOf(o.name).memGB
-		}
-	}
-	if cpus > typeCPUs+1e-6 || mem > typeMemGB+1e-6 {
+	if cpus, mem := m.inUse(); cpus > typeCPUs+1e-6 || mem > typeMemGB+1e-6 {
 		l.stance, l.cause = "exited", "no_room"
 		return
 	}
--- a/review/world/world.go
+++ b/review/testdata/world/world.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -117,17 +118,6 @@
 	return w.done[name]
 }
 
-// tasksOn returns the names of the tasks that are on a machine.
-func (w *world) tasksOn() (names []string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for name := range w.on {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func (w *world) startsOf(id string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -149,13 +139,18 @@
 	return slices.IndexFunc(w.nodes, func(n *node) bool { return n.label == label })
 }
 
+// freeAddress returns a free loopback address for a controller. Its port is below those that the
+// system gives to outgoing connections, so that it stays free.
 func freeAddress(w *world) string {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		w.fail("listen: %v", err)
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(10_000))
+		if ln, err := net.Listen("tcp4", address); err == nil {
+			ln.Close()
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	w.fail("no free port")
+	return ""
 }
 
 func (w *world) serve(h http.Handler) string {
