Priorities in DAGs: a change costs no more than the names, in bounded steps

A restart of all began the work anew.

Cause: propagatePriority passed the deadline up the DAG with a stack, so that a job was visited again for each longer way to it, and each visit computed its deadline anew from all dependents, in one step of every controller.

Change: each job keeps its dependents in a heap by latest start with a count by priority, so that what it takes over from them is looked up. Changes wait in a queue that serves the job accepted last first: every job is updated after its dependents, once. A step stops after 2,000 names and goes on a millisecond later. Ends no longer search lists of dependents, and a status request about a blocked job no longer searches the DAG for unknown dependencies: each job counts them.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,6 +97,7 @@
 	c.recordDependents()
 	c.wakeAt = min(c.wakeAt, c.nextMaintenance())
 	c.runDeferred()
+	c.updatePriorities()
 	c.schedule()
 	c.runDeferred()
 	c.sendQueuedStateRequests()
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -28,20 +28,23 @@
 )
 
 // linkDependencies adds a new job to the dependency graph. It computes the job's effective priority
-// and deadline from its dependents, marks the job if a dependency is cancelled, and updates the
-// effective priorities and deadlines of its dependencies.
+// and deadline from its dependents, marks the job if a dependency is cancelled, and queues the
+// updates of the effective priorities and deadlines of its dependencies.
 func (c *Controller) linkDependencies(j *job) {
 	c.updatePriority(j)
 	delete(c.jobs.unknownDependencies, j.id)
 	for _, id := range j.sub.DependsOn {
 		c.linkDependency(j, id)
 	}
-	c.propagatePriority(j)
+	if j.uncertainDependencies == 0 {
+		c.settleDependency(j.id)
+	}
 }
 
 // linkDependency makes a job wait for the dependency with the given id, unless the record of the
 // dependency says that it is done.
 func (c *Controller) linkDependency(j *job, id string) {
+	c.visited++
 	t := &c.jobs
 	f, ended := t.final(id)
 	if ended && f.state == wire.StateCancelled {
@@ -50,34 +53,84 @@
 		j.unblockedMS = max(j.unblockedMS, f.endMS)
 		return
 	}
+	if j.unmetDependencies[id] {
+		return // named twice
+	}
 	if j.unmetDependencies == nil {
 		j.unmetDependencies = map[string]bool{}
 	}
 	j.unmetDependencies[id] = true
-	t.dependents[id] = append(t.dependents[id], j)
-	if d := t.open[id]; d == nil {
+	d := t.open[id]
+	dependents := t.dependentsOf(id)
+	dependents.add(j)
+	if dependents.uncertain {
+		j.uncertainDependencies++
+	}
+	if d == nil {
 		t.unknownDependencies[id] = c.now + unknownReadDelay
-	} else if d.dependencyCancelled {
+		return
+	}
+	if d.dependencyCancelled {
 		c.markDependencyCancelled(j)
 	}
+	c.queuePriorityUpdate(d)
+}
+
+// dependentsOf returns the dependents of the job with the given id. It creates the set if the job
+// has none yet.
+func (t *jobTable) dependentsOf(id string) *dependentSet {
+	dependents := t.dependents[id]
+	if dependents == nil {
+		dependents = newDependentSet()
+		if d := t.open[id]; d != nil {
+			dependents.uncertain = d.uncertainDependencies > 0
+		} else {
+			_, ended := t.final(id)
+			dependents.uncertain = !ended
+		}
+		t.dependents[id] = dependents
+	}
+	return dependents
+}
+
+// settleDependency records that this node knows the state of a job and of all jobs for which that
+// job waits, directly or not. It does so in turn for the dependents for which that was the last
+// uncertain dependency. Each name in a record becomes certain only once, so that the work is in
+// proportion to the names read.
+func (c *Controller) settleDependency(id string) {
+	for stack := []string{id}; len(stack) > 0; {
+		dependents := c.jobs.dependents[stack[len(stack)-1]]
+		stack = stack[:len(stack)-1]
+		if dependents == nil || !dependents.uncertain {
+			continue
+		}
+		dependents.uncertain = false
+		for _, j := range dependents.jobs {
+			c.visited++
+			j.uncertainDependencies--
+			if j.uncertainDependencies == 0 {
+				stack = append(stack, j.id)
+			}
+		}
+	}
 }
 
 // unlinkDependencies removes an ended job from the dependents of its dependencies.
 func (c *Controller) unlinkDependencies(j *job) {
 	t := &c.jobs
 	for _, id := range j.sub.DependsOn {
-		if !j.unmetDependencies[id] {
+		c.visited++
+		dependents := t.dependents[id]
+		if !j.unmetDependencies[id] || dependents == nil {
 			continue
 		}
-		rest := slices.DeleteFunc(t.dependents[id], func(d *job) bool { return d == j })
-		if len(rest) == 0 {
+		dependents.remove(j)
+		if dependents.Len() == 0 {
 			delete(t.dependents, id)
 			delete(t.unknownDependencies, id)
-		} else {
-			t.dependents[id] = rest
 		}
+		c.queuePriorityUpdate(t.open[id])
 	}
-	c.propagatePriority(j)
 }
 
 // handleDependencyEnd handles the end of a job for its dependents: it cancels them if the job was
@@ -86,11 +139,12 @@
 	t := &c.jobs
 	delete(t.unknownDependencies, id)
 	dependents := t.dependents[id]
-	if f.state == wire.StateCancelled {
-		c.markDependencyCancelled(dependents...)
+	if dependents == nil {
 		return
 	}
-	if len(dependents) == 0 {
+	c.settleDependency(id)
+	if f.state == wire.StateCancelled {
+		c.markDependencyCancelled(dependents.jobs...)
 		return
 	}
 	if !f.recorded {
@@ -104,7 +158,8 @@
 	if endMS == 0 {
 		endMS = c.wall.Millis() // older versions did not record the time
 	}
-	for _, d := range dependents {
+	for _, d := range dependents.jobs {
+		c.visited++
 		delete(d.unmetDependencies, id)
 		d.unblockedMS = max(d.unblockedMS, endMS)
 		if !d.blocked() && !d.dependencyCancelled && d.run != nil {
@@ -150,7 +205,10 @@
 				first = j.id
 			}
 		}
-		stack = append(stack, c.jobs.dependents[j.id]...)
+		if dependents := c.jobs.dependents[j.id]; dependents != nil {
+			c.visited += uint64(dependents.Len())
+			stack = append(stack, dependents.jobs...)
+		}
 	}
 	if count > 0 {
 		c.log(Info, "cancelling dependents of a cancelled job", "first", first, "count", count)
@@ -199,73 +257,7 @@
 	if !watch.Ready() || c.now-watch.CompleteAsOf > maxAge {
 		return false
 	}
-	return c.jobs.knowsAllDependencies(j)
-}
-
-// knowsAllDependencies reports whether this node knows the states of all direct and transitive
-// dependencies of a blocked job. A transitive one may have been cancelled and evicted from memory.
-func (t *jobTable) knowsAllDependencies(j *job) bool {
-	visited := map[string]bool{}
-	for stack := []*job{j}; len(stack) > 0; {
-		dependent := stack[len(stack)-1]
-		stack = stack[:len(stack)-1]
-		for id := range dependent.unmetDependencies {
-			if _, unknown := t.unknownDependencies[id]; unknown {
-				return false
-			}
-			if d := t.open[id]; d != nil && d.blocked() && !visited[id] {
-				visited[id] = true
-				stack = append(stack, d)
-			}
-		}
-	}
-	return true
-}
-
-// updatePriority recomputes a job's effective priority and deadline and reports whether either has
-// changed.
-func (c *Controller) updatePriority(j *job) bool {
-	priority, deadline := c.effectivePriority(j)
-	if priority == j.priority && deadline == j.deadline {
-		return false
-	}
-	j.priority = priority
-	j.deadline = deadline
-	c.ownership.shards[j.shard].queueStale = true
-	return true
-}
-
-// effectivePriority returns the priority of a job and its deadline as a time of day, both with its
-// dependents taken into account. The priority is the highest of its own and theirs. The deadline is
-// early enough to leave each dependent its expected run time before that dependent's deadline.
-func (c *Controller) effectivePriority(j *job) (priority int, deadline micros.Micros) {
-	priority, _ = wire.PriorityOf(j.sub.Priority)
-	deadline = micros.Never
-	if j.sub.DeadlineS != nil {
-		accepted := micros.Micros(j.rec.AcceptedMS) * micros.Millisecond
-		deadline = accepted + micros.FromSeconds(*j.sub.DeadlineS)
-	}
-	for _, d := range c.jobs.dependents[j.id] {
-		priority = max(priority, d.priority)
-		if d.deadline < micros.Never {
-			deadline = min(deadline, d.deadline-c.estimates.Expect(d.sub))
-		}
-	}
-	return priority, deadline
-}
-
-// propagatePriority updates the effective priority and deadline of all direct and transitive
-// dependencies of a job.
-func (c *Controller) propagatePriority(j *job) {
-	for stack := []*job{j}; len(stack) > 0; {
-		dependent := stack[len(stack)-1]
-		stack = stack[:len(stack)-1]
-		for id := range dependent.unmetDependencies {
-			if d := c.jobs.open[id]; d != nil && c.updatePriority(d) {
-				stack = append(stack, d)
-			}
-		}
-	}
+	return j.uncertainDependencies == 0
 }
 
 // readUnknownDependencies reads the records of dependencies that are not in the job table, for the
@@ -280,7 +272,7 @@
 		if t.readsInFlight >= maxDependencyReads {
 			return
 		}
-		if c.now < t.unknownDependencies[id] || !slices.ContainsFunc(t.dependents[id], ownedAndBlocked) {
+		if c.now < t.unknownDependencies[id] || !slices.ContainsFunc(t.dependents[id].jobs, ownedAndBlocked) {
 			continue
 		}
 		t.unknownDependencies[id] = c.now + unknownReadInterval
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -23,12 +23,20 @@
 	// updatePriority. The deadline is a time of day.
 	priority int
 	deadline micros.Micros
+	// latestStart is the time of day at which the job must start to meet its effective deadline;
+	// micros.Never without a deadline.
+	latestStart micros.Micros
+	// priorityUpdateQueued is set while the job is in jobTable.priorityUpdates.
+	priorityUpdateQueued bool
 	// unblockedMS is when the last of the finished dependencies was done, as a time of day in
 	// milliseconds; 0 if no dependency is done.
 	unblockedMS int64
 	// unmetDependencies holds the ids of the dependencies whose records do not say that they are
 	// done.
 	unmetDependencies map[string]bool
+	// uncertainDependencies is the number of unmet dependencies whose state, or the state of a job
+	// for which they wait, this node does not know; see settleDependency.
+	uncertainDependencies int
 	// dependencyCancelled is set if a direct or transitive dependency is cancelled.
 	dependencyCancelled bool
 	knownAt             micros.Micros
--- a/internal/controller/job_table.go
+++ b/internal/controller/job_table.go
@@ -60,10 +60,12 @@
 	// open nor finals.
 	unusable map[string]bool
 	// dependents holds the open jobs that wait for a job, by the id of that job.
-	dependents map[string][]*job
+	dependents map[string]*dependentSet
 	// unknownDependencies holds, for each id in dependents whose state is not known, the time from
 	// which its record may be read.
 	unknownDependencies map[string]micros.Micros
+	// priorityUpdates holds the jobs whose effective priority or deadline is to be updated.
+	priorityUpdates priorityUpdates
 	// readsInFlight is the number of reads of unknown dependencies in flight.
 	readsInFlight int
 }
@@ -74,7 +76,7 @@
 	t.finals = finalJobs{limit: maxFinals, byID: map[string]finalJob{}}
 	t.pendingCreations = map[string]*jobCreation{}
 	t.unusable = map[string]bool{}
-	t.dependents = map[string][]*job{}
+	t.dependents = map[string]*dependentSet{}
 	t.unknownDependencies = map[string]micros.Micros{}
 }
 
