Failures: a job avoids a machine for 30 s, not for ever

Cause: avoidsMachine refused a machine on which two tasks of the job had failed for as long as the owner kept the job. The machine is cordoned after three failures, but no third task started there; being idle it counted as capacity, so that none was rented, moved or returned. Reservations and preemption left such machines out for ever as well. A job that failed on three machines was no demand at all while it waited for its next try.

Change: the refusal ends 30 s after the last failure of the job there, for placement, reservations and preemption alike. The machine stays the last choice; if it is still sick, the third failure has it cordoned and replaced.

--- a/internal/controller/candidates.go
+++ b/internal/controller/candidates.go
@@ -98,7 +98,7 @@
 	cpus := c.types.cpusOf(m)
 	return scheduling.Candidate{
 		Image:         v.imageState(j.sub.Image),
-		FailedThisJob: j.run.failuresByMachine[m.id] > 0,
+		FailedThisJob: j.run.failuresByMachine[m.id].count > 0,
 		FailedAnyJob:  len(v.failuresByJob) > 0,
 		Slowness:      c.slowness(m),
 		CPUs:          cpus,
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -295,10 +295,10 @@
 	headroom := c.teamHeadroom(s)
 	quotas := quotaHeadroom{}
 	for _, j := range c.queue(s) {
-		if !j.wantsMachines() {
+		pending := j.tasksWantingMachines()
+		if pending == 0 {
 			continue
 		}
-		pending := j.pending()
 		count := headroom.take(j, pending)
 		count = c.quota.takeQuota(quotas, s, j, count)
 		key := waitingTasksKeyOf(j)
@@ -319,11 +319,22 @@
 	return groups
 }
 
-// wantsMachines reports whether the job has waiting tasks that may start as soon as there are
-// machines for them.
-func (j *job) wantsMachines() bool {
+// tasksWantingMachines returns how many of a job's waiting tasks may start as soon as there are
+// machines for them. A job that fails on every machine is tried one task at a time; it needs a
+// machine for that.
+func (j *job) tasksWantingMachines() int {
 	r := j.run
-	return r != nil && r.checkpointApplied && !r.end.requested() && r.nextRetryAt == 0 && j.pending() > 0
+	if r == nil || !r.checkpointApplied || r.end.requested() {
+		return 0
+	}
+	pending := max(j.pending(), 0)
+	switch {
+	case r.nextRetryAt == 0:
+		return pending
+	case len(r.active) > 0:
+		return 0
+	}
+	return min(pending, 1)
 }
 
 // newWaitingTasks returns the group that a job's tasks belong to, with no tasks counted yet.
--- a/internal/controller/first_start.go
+++ b/internal/controller/first_start.go
@@ -88,7 +88,7 @@
 		return false
 	}
 	reserved := m.view.reservation.job != nil && c.now < m.view.reservation.until
-	return !reserved && c.allowed(j, m, zones) && j.run.failuresByMachine[m.id] == 0
+	return !reserved && c.allowed(j, m, zones) && !j.run.failedRecently(m, c.now)
 }
 
 // taskEnd is the expected end of a task on its machine.
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -85,7 +85,7 @@
 	checkpoint jobCheckpoint
 	end        jobEnd
 
-	failuresByMachine map[string]int
+	failuresByMachine map[string]machineFailures
 	failuresByTask    map[int]int
 	stopsByTask       map[int]int // preemptions
 	// nextRetryAt is set while the job fails on every machine and is tried one task at a time.
@@ -111,7 +111,7 @@
 		checkpoint:         jobCheckpoint{recorded: checkpoint.NewTaskSet(j.sub.Tasks)},
 		active:             map[int]*attempt{},
 		acceptedUnderClaim: j.modRevision > ownerEpoch,
-		failuresByMachine:  map[string]int{},
+		failuresByMachine:  map[string]machineFailures{},
 		failuresByTask:     map[int]int{},
 		stopsByTask:        map[int]int{},
 		arrivedAt:          now,
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -60,7 +60,7 @@
 	if r == nil {
 		return
 	}
-	r.failuresByMachine[m.id]++
+	r.recordMachineFailure(m, c.now)
 	r.failuresByTask[att.index]++
 	r.longestFailedRun = max(r.longestFailedRun, att.runTime(c.now))
 	if c.jobAtFault(j) {
@@ -172,20 +172,6 @@
 	return false
 }
 
-// avoidsMachine reports whether a task must not run on a machine on which its job has failed. After
-// one failure the same machine may be used again; after a second failure of the task, or of the job
-// on that machine, another one is used.
-func (c *Controller) avoidsMachine(j *job, idx int, m *machine) bool {
-	failuresHere := j.run.failuresByMachine[m.id]
-	if failuresHere == 0 {
-		return false
-	}
-	if j.run.retryBackoff != 0 {
-		return false // the job fails on every machine, so no other one is better
-	}
-	return failuresHere >= 2 || j.run.failuresByTask[idx] >= 2
-}
-
 // recordReclaimNotice records the notice that the cloud will reclaim a spot machine, if the
 // heartbeat carries one, and drains the machine.
 func (c *Controller) recordReclaimNotice(m *machine, heartbeat *wire.Heartbeat) {
--- a/internal/controller/preemption.go
+++ b/internal/controller/preemption.go
@@ -102,7 +102,7 @@
 	zones := c.zonesOf(j)
 	for _, m := range s.machines {
 		c.visited++
-		if m.view == nil || !c.usable(m) || !c.allowed(j, m, zones) || j.run.failuresByMachine[m.id] > 0 {
+		if m.view == nil || !c.usable(m) || !c.allowed(j, m, zones) || j.run.failedRecently(m, c.now) {
 			continue
 		}
 		reserved := &m.view.reservation
