Fleet: a task that no sum and no threshold serves gets a machine

Jobs of one CPU waited for as long as all other machines had any task.

Cause: moves and rentals are decided by sums of CPUs with thresholds for their cost (minMoveGain, minDeficit, machines that are half gained or nearly empty, nothing rented while the sum of all CPUs suffices). None of these refusals had an end.

Change: owners name the tasks that have waited for 10 s although only the lack of a machine keeps them from starting; the leader serves those that have waited for 40 s, or 10 s where no machine of the shard could run the task. It moves an idle machine, else rents one unless one is arriving, else, for a task without any machine, drains the busy machine that will be empty soonest. The thresholds stay for everything else. A task is served again after 30 s and a machine is not moved again for another one within a minute, so that shards do not pass it to and fro. Sums count what a task takes up of a machine by its largest part of CPUs, memory or GPUs, so that tasks without CPUs count too.

The simulation now checks that no accepted job waits for 90 s beside a machine that fits or while the cloud would give one, in all plans, and has plans with few machines and unusual tasks.

--- a/internal/controller/assignment.go
+++ b/internal/controller/assignment.go
@@ -41,6 +41,7 @@
 	r := j.run
 	r.active[index] = att
 	r.startedMS = c.wall.Millis()
+	c.restartWait(j)
 	c.quota.traceGrant(s, j)
 	if r.firstRunAt == 0 {
 		r.firstRunAt = c.now
--- a/internal/controller/candidates.go
+++ b/internal/controller/candidates.go
@@ -57,10 +57,12 @@
 	if sub.SameZone && anyTaskOutside(zones, m.rec.Zone) {
 		return false
 	}
-	mostPerZone := (sub.Tasks + 1) / 2
-	return !sub.Spread || zones[m.rec.Zone] < mostPerZone
+	return !sub.Spread || zones[m.rec.Zone] < maxTasksPerZone(sub)
 }
 
+// maxTasksPerZone returns how many tasks of a job that spreads its tasks may be in one zone.
+func maxTasksPerZone(sub *wire.Submission) int { return (sub.Tasks + 1) / 2 }
+
 // anyTaskOutside reports whether any task is in a zone other than the given one.
 func anyTaskOutside(zones map[string]int, zone string) bool {
 	for name, tasks := range zones {
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
-	"strings"
 
 	"garnethitch/internal/controller/fleet"
 	"garnethitch/internal/micros"
@@ -66,7 +64,7 @@
 		GuaranteedCPUs: c.guaranteedCPUs(s),
 	}
 	remainingBytes = c.addMachines(s, &d, remainingBytes)
-	d.WaitingTasks = c.waitingTaskGroups(s)
+	d.WaitingTasks, d.OverdueTasks = c.waitingTasksOf(s)
 	return d, remainingBytes
 }
 
@@ -119,7 +117,7 @@
 func (c *Controller) addMachine(s *shard, m *machine, d *peer.Demand, zone *peer.ZoneMachines) peer.Machine {
 	v := m.view
 	cpus := c.types.cpusOf(m)
-	used := min(v.usage.total.CPUs, cpus)
+	used := min(occupiedCPUs(c.types.of(m), v.usage.total), cpus)
 	row := peer.Machine{ID: m.id, State: c.machineState(m), BusyCPUs: used, Movable: true}
 	if row.State == peer.MachineBooting {
 		d.BootingCPUs += cpus
@@ -268,113 +266,3 @@
 	fails := v.faulty && c.now < v.cordonedUntil
 	return fails || v.reclaimAt != 0 || c.slowness(m) > unhealthySlowness && v.runTimeWeight > minUnhealthyRunTimeWeight
 }
-
-// maxWaitingTaskGroups bounds the groups of waiting tasks in the demand of a shard.
-const maxWaitingTaskGroups = 32
-
-// waitingTasksKey is what all tasks of a group have in common.
-type waitingTasksKey struct {
-	zone, types string
-	spot        bool
-	cpus, gpus  float64
-	priority    int
-}
-
-// waitingTasksKeyOf returns the key of the group of a job's tasks.
-func waitingTasksKeyOf(j *job) waitingTasksKey {
-	types := strings.Join(j.sub.Types, " ")
-	return waitingTasksKey{zone: j.sub.Zone, types: types, spot: j.sub.Spot, cpus: j.sub.CPUs, gpus: j.sub.GPUs, priority: j.priority}
-}
-
-// waitingTaskGroups groups a shard's waiting tasks by their needs. Tasks beyond the limit or the
-// quota of their team are left out of the counts, since more machines would not let them start.
-// Their run time is included in the work all the same.
-func (c *Controller) waitingTaskGroups(s *shard) []peer.WaitingTasks {
-	index := map[waitingTasksKey]int{}
-	var groups []peer.WaitingTasks
-	headroom := c.teamHeadroom(s)
-	quotas := quotaHeadroom{}
-	for _, j := range c.queue(s) {
-		pending := j.tasksWantingMachines()
-		if pending == 0 {
-			continue
-		}
-		count := headroom.take(j, pending)
-		count = c.quota.takeQuota(quotas, s, j, count)
-		key := waitingTasksKeyOf(j)
-		i, known := index[key]
-		if !known {
-			if len(groups) >= maxWaitingTaskGroups {
-				continue
-			}
-			i = len(groups)
-			index[key] = i
-			groups = append(groups, newWaitingTasks(j))
-		}
-		g := &groups[i]
-		g.Count += count
-		g.WorkUS += int64(pending) * int64(c.estimates.Expect(j.sub))
-		g.MemGB = max(g.MemGB, j.sub.MemGB)
-	}
-	return groups
-}
-
-// tasksWantingMachines returns how many of a job's waiting tasks may start as soon as there are
-// machines for them. A job that fails on every machine is tried one task at a time; it needs a
-// machine for that.
-func (j *job) tasksWantingMachines() int {
-	r := j.run
-	if r == nil || !r.checkpointApplied || r.end.requested() {
-		return 0
-	}
-	pending := max(j.pending(), 0)
-	switch {
-	case r.nextRetryAt == 0:
-		return pending
-	case len(r.active) > 0:
-		return 0
-	}
-	return min(pending, 1)
-}
-
-// newWaitingTasks returns the group that a job's tasks belong to, with no tasks counted yet.
-func newWaitingTasks(j *job) peer.WaitingTasks {
-	return peer.WaitingTasks{
-		Types:    j.sub.Types,
-		AnyType:  j.sub.Types == nil,
-		Zone:     j.sub.Zone,
-		Spot:     j.sub.Spot,
-		CPUs:     j.sub.CPUs,
-		GPUs:     j.sub.GPUs,
-		MemGB:    j.sub.MemGB,
-		Priority: j.priority,
-	}
-}
-
-// teamHeadroom holds how many more CPUs each team may use, indexed by team.
-type teamHeadroom []float64
-
-// teamHeadroom returns how many more CPUs each team may use in a shard.
-func (c *Controller) teamHeadroom(s *shard) teamHeadroom {
-	headroom := make(teamHeadroom, len(c.cfg.Teams))
-	for i, t := range c.cfg.Teams {
-		headroom[i] = math.Inf(1)
-		if t.CPUsMax > 0 {
-			headroom[i] = t.CPUsMax - s.usage[i].cpus
-		}
-	}
-	return headroom
-}
-
-// take returns how many of count tasks of a job fit into the headroom of its team, and subtracts
-// them.
-func (h teamHeadroom) take(j *job, count int) int {
-	if j.sub.CPUs <= 0 {
-		return count
-	}
-	if fit := h[j.team] / j.sub.CPUs; fit < float64(count) {
-		count = max(int(fit), 0)
-	}
-	h[j.team] -= float64(count) * j.sub.CPUs
-	return count
-}
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -175,6 +175,7 @@
 	s.queueStale = true
 	c.schedulingDue = true
 	j.run.arrivedAt = c.now
+	c.restartWait(j)
 	c.recordArrival(s, j)
 	c.log(Info, "job unblocked, all its dependencies are done", "job", j.id, "after_ms", c.wall.Millis()-endMS, "class", j.sub.Class, "priority", j.priority)
 }
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -33,6 +33,7 @@
 	assignments
 	machineReturns
 	machineMoves
+	overdueService
 }
 
 // assignments holds the machines that are being assigned to shards.
@@ -59,6 +60,7 @@
 	f.assignments.reset()
 	f.machineReturns.reset()
 	f.machineMoves.reset()
+	f.overdueService.reset()
 }
 
 // reset discards all assignments.
--- a/internal/controller/fleet/catalog.go
+++ b/internal/controller/fleet/catalog.go
@@ -73,6 +73,25 @@
 	return need.Fits(scheduling.Resources{CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemGB: machineType.MemGB})
 }
 
+// CanRunTask reports whether an overdue task can run on machines of a kind.
+func (c Catalog) CanRunTask(task *peer.OverdueTask, kind Kind) bool {
+	return !slices.Contains(task.ExcludedZones, kind.Zone) && c.CanRun(groupOf(task), kind)
+}
+
+// groupOf returns a group that consists of an overdue task.
+func groupOf(task *peer.OverdueTask) peer.WaitingTasks {
+	return peer.WaitingTasks{
+		Types:   task.Types,
+		AnyType: task.AnyType,
+		Zone:    task.Zone,
+		Spot:    task.Spot,
+		CPUs:    task.CPUs,
+		GPUs:    task.GPUs,
+		MemGB:   task.MemGB,
+		Count:   1,
+	}
+}
+
 // allows reports whether a group's constraints on zone, spot and type admit machines of a kind.
 func allows(group peer.WaitingTasks, kind Kind) bool {
 	if group.Zone != "" && group.Zone != kind.Zone || kind.Spot && !group.Spot {
--- a/internal/controller/fleet/demand.go
+++ b/internal/controller/fleet/demand.go
@@ -40,7 +40,7 @@
 func WaitingCPUs(demand *peer.Demand) float64 {
 	cpus := 0.0
 	for _, group := range demand.WaitingTasks {
-		cpus += float64(group.Count) * group.CPUs
+		cpus += float64(group.Count) * group.Size()
 	}
 	return cpus
 }
@@ -50,7 +50,7 @@
 func UnfinishedWork(demand *peer.Demand) float64 {
 	work := micros.Micros(demand.RemainingWorkUS).Seconds()
 	for _, group := range demand.WaitingTasks {
-		work += micros.Micros(group.WorkUS).Seconds() * group.CPUs
+		work += micros.Micros(group.WorkUS).Seconds() * group.Size()
 	}
 	return work
 }
--- a/internal/controller/fleet/rebalancing.go
+++ b/internal/controller/fleet/rebalancing.go
@@ -34,8 +34,8 @@
 	CPUs float64
 }
 
-// idle reports whether the machine holds no tasks.
-func (m Machine) idle() bool { return m.State == peer.MachineIdle }
+// Idle reports whether the machine holds no tasks.
+func (m Machine) Idle() bool { return m.State == peer.MachineIdle }
 
 // Move states that a machine is to move to another shard.
 type Move struct {
@@ -118,7 +118,7 @@
 		r.actual[machine.From] -= machine.CPUs
 		r.actual[to] += machine.CPUs
 		r.shortfall[to] -= machine.CPUs
-		moves = append(moves, Move{Machine: machine, To: to, Drain: !machine.idle()})
+		moves = append(moves, Move{Machine: machine, To: to, Drain: !machine.Idle()})
 	}
 	return moves
 }
@@ -132,11 +132,11 @@
 			continue
 		}
 		gap := r.target[shard] - r.actual[shard]
-		if machine.idle() {
+		if machine.Idle() {
 			gap = max(gap, 0) + idleMoveGap
 		}
 		shardGain := min(r.shortfall[shard], gap)
-		firstForIdle := machine.idle() && !found && r.shortfall[shard] > minMoveGain
+		firstForIdle := machine.Idle() && !found && r.shortfall[shard] > minMoveGain
 		if shardGain > gain || firstForIdle {
 			to, gain, found = shard, shardGain, true
 		}
@@ -147,7 +147,7 @@
 // mayLeave reports whether a machine may leave its shard for one that gains the given number of
 // CPUs. It counts the machine in draining or spare if the machine must be drained for the move.
 func (r *Rebalancing) mayLeave(machine Machine, gain float64) bool {
-	if machine.idle() {
+	if machine.Idle() {
 		// The machine's own shard may be about to use it.
 		ownDemand := r.demands[machine.From]
 		return WaitingCPUs(ownDemand) == 0 || !r.catalog.Useful(ownDemand, machine.Kind)
--- a/internal/controller/fleet/scale_in.go
+++ b/internal/controller/fleet/scale_in.go
@@ -23,6 +23,7 @@
 	CPUPrice float64 // price of one CPU per hour
 	IdleFor  micros.Micros
 	Unusable bool // true if tasks wait and none of them can run on the machine
+	Wanted   bool // true if an overdue task of any shard can run on the machine
 }
 
 // ScaleIn decides which idle machines to return to the cloud.
@@ -56,6 +57,9 @@
 
 // surplus reports whether a machine is no longer needed.
 func (s ScaleIn) surplus(machine IdleMachine) bool {
+	if machine.Wanted && machine.IdleFor < s.MaxIdle {
+		return false
+	}
 	if s.FleetFull && machine.IdleFor >= fullFleetMaxIdle {
 		return true
 	}
--- a/internal/controller/fleet/scale_out.go
+++ b/internal/controller/fleet/scale_out.go
@@ -50,7 +50,7 @@
 // their price. It returns false if nothing more is to be rented. It sorts WaitingTasks.
 func (s *ScaleOut) Next() (wire.RentalRequest, bool) {
 	slices.SortStableFunc(s.WaitingTasks, func(a, b peer.WaitingTasks) int {
-		return cmp.Compare(float64(b.WorkUS)*b.CPUs, float64(a.WorkUS)*a.CPUs)
+		return cmp.Compare(float64(b.WorkUS)*b.Size(), float64(a.WorkUS)*a.Size())
 	})
 	lowestPrice := s.Catalog.LowestPrice()
 	for _, group := range s.WaitingTasks {
@@ -69,7 +69,7 @@
 func (s *ScaleOut) rentalFor(group peer.WaitingTasks, lowestPrice float64) (wire.RentalRequest, bool) {
 	shortfall := s.Totals.Parallel - s.Totals.Have
 	groupShortfall := 0.0
-	fleetSmallerThanTask := s.Totals.Have+scheduling.Tolerance < group.CPUs
+	fleetSmallerThanTask := s.Totals.Have+scheduling.Tolerance < group.Size()
 	if s.Catalog.Constrained(group) || fleetSmallerThanTask {
 		groupShortfall = s.groupShortfall(group)
 		shortfall = max(shortfall, groupShortfall)
@@ -88,13 +88,29 @@
 	return wire.RentalRequest{}, false
 }
 
+// RentalForTask returns the rental of the cheapest machine that can run an overdue task, whether the
+// fleet is large enough or not. It returns false if no machine of the kinds that can run it is
+// available, or the fleet may not grow.
+func (s *ScaleOut) RentalForTask(task *peer.OverdueTask) (wire.RentalRequest, bool) {
+	if s.MaxMachines <= 0 {
+		return wire.RentalRequest{}, false
+	}
+	group := groupOf(task)
+	for _, candidate := range s.options(group, group.CPUs) {
+		if s.Catalog.CanRunTask(task, candidate.kind) {
+			return wire.RentalRequest{Type: candidate.kind.Type, Zone: candidate.kind.Zone, Spot: candidate.kind.Spot, Count: 1}, true
+		}
+	}
+	return wire.RentalRequest{}, false
+}
+
 // groupShortfall returns the number of CPUs that a constrained group needs in addition to the free
 // CPUs that it can use. The fleet as a whole may be large enough and still have no machine on
 // which the group's tasks can run.
 func (s *ScaleOut) groupShortfall(group peer.WaitingTasks) float64 {
-	waiting := float64(group.Count) * group.CPUs
-	toDrain := micros.Micros(group.WorkUS).Seconds() * group.CPUs / s.DrainHorizon.Seconds()
-	shortfall := min(waiting, max(toDrain, group.CPUs))
+	waiting := float64(group.Count) * group.Size()
+	toDrain := micros.Micros(group.WorkUS).Seconds() * group.Size() / s.DrainHorizon.Seconds()
+	shortfall := min(waiting, max(toDrain, group.Size()))
 	for kind, cpus := range s.Free {
 		if s.Catalog.CanRun(group, kind) {
 			shortfall -= cpus
@@ -122,7 +138,7 @@
 		if machineType.CPUs <= 0 {
 			continue
 		}
-		usedCPUs := min(machineType.CPUs, max(shortfall, group.CPUs))
+		usedCPUs := max(min(machineType.CPUs, max(shortfall, group.Size())), minPricedCPUs)
 		for _, kind := range kindsOf(machineType, name) {
 			if !s.Catalog.CanRun(group, kind) || s.Unavailable(kind) {
 				continue
--- a/internal/controller/job.go
+++ b/internal/controller/job.go
@@ -81,6 +81,8 @@
 	checkpointApplied bool
 	finishedTasks     []wire.FinishedTask
 	arrivedAt         micros.Micros
+	// waitingSince is when the job began to wait for machines for its tasks; see restartWait.
+	waitingSince micros.Micros
 
 	checkpoint jobCheckpoint
 	end        jobEnd
@@ -115,6 +117,7 @@
 		failuresByTask:     map[int]int{},
 		stopsByTask:        map[int]int{},
 		arrivedAt:          now,
+		waitingSince:       now,
 	}
 }
 
--- a/internal/controller/machine_assignment.go
+++ b/internal/controller/machine_assignment.go
@@ -36,7 +36,9 @@
 	}
 	capacity, total := c.countCapacity(list)
 	target := fleet.TargetCPUs(demand, total)
-	byShard := c.chooseShards(list, target, capacity)
+	byShard := map[int][]unassignedMachine{}
+	rest := c.assignToOverdue(list, demand, byShard)
+	c.chooseShards(rest, target, capacity, byShard)
 	for _, s := range c.ownership.shards {
 		for chunk := range slices.Chunk(byShard[s.id], c.recordSetLimit()) {
 			c.createRecordSet(origin, s, chunk, registrations)
@@ -72,11 +74,15 @@
 	return capacity, total
 }
 
-// chooseShards distributes machines over the shards by target and present CPUs, and adds their CPUs
-// to capacity. Consecutive machines go to the same shard as long as it is below its target: to
-// spread them over all shards would take a write for each shard.
-func (c *Controller) chooseShards(list []unassignedMachine, target, capacity map[int]float64) map[int][]unassignedMachine {
-	byShard := map[int][]unassignedMachine{}
+// chooseShards distributes machines over the shards by target and present CPUs: it adds them to
+// byShard and their CPUs to capacity. Consecutive machines go to the same shard as long as it is
+// below its target: to spread them over all shards would take a write for each shard.
+func (c *Controller) chooseShards(list []unassignedMachine, target, capacity map[int]float64, byShard map[int][]unassignedMachine) {
+	for shard, machines := range byShard {
+		for _, m := range machines {
+			capacity[shard] += c.types.byName[m.kind.Type].CPUs
+		}
+	}
 	chosen := -1
 	for _, m := range list {
 		cpus := max(c.types.byName[m.kind.Type].CPUs, 1)
@@ -86,7 +92,6 @@
 		capacity[chosen] += cpus
 		byShard[chosen] = append(byShard[chosen], m)
 	}
-	return byShard
 }
 
 // shardLackingMost returns the shard that is furthest below its target. If no tasks wait, that is
--- a/internal/controller/machine_avoidance.go
+++ b/internal/controller/machine_avoidance.go
@@ -37,6 +37,16 @@
 	return failed && now < failures.lastAt+avoidancePeriod
 }
 
+// avoidsMachines reports whether a task of the job has failed on any machine within avoidancePeriod.
+func (r *run) avoidsMachines(now micros.Micros) bool {
+	for _, failures := range r.failuresByMachine {
+		if now < failures.lastAt+avoidancePeriod {
+			return true
+		}
+	}
+	return false
+}
+
 // avoidsMachine reports whether a task must not run on a machine on which its job has recently
 // failed. After one failure the same machine may be used again; after a second failure of the task,
 // or of the job on that machine, another one is used. Once avoidancePeriod is over, the next
--- a/internal/controller/machine_avoidance_test.go
+++ b/internal/controller/machine_avoidance_test.go
@@ -111,7 +111,8 @@
 			}
 			h.c.queue(h.c.ownership.shards[0])
 			count := 0
-			for _, group := range h.c.waitingTaskGroups(h.c.ownership.shards[0]) {
+			groups, _ := h.c.waitingTasksOf(h.c.ownership.shards[0])
+			for _, group := range groups {
 				count += group.Count
 			}
 			if count != tc.want {
--- /dev/null
+++ b/internal/controller/overdue_service.go
@@ -0,0 +1,224 @@
+package controller
+
+import (
+	"slices"
+
+	"garnethitch/internal/controller/fleet"
+	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
+)
+
+// This file finds machines for overdue tasks, as the leader. No threshold for the cost of a move or
+// a rental applies to them.
+
+const (
+	// serviceInterval is the time after which another machine is found for a task that has still
+	// not started. A machine that moves is at its new owner long before.
+	serviceInterval = 30 * micros.Second
+	// serviceMoveInterval is the least time between two moves of one machine for overdue tasks, so
+	// that shards in which it is of no use do not pass it to and fro.
+	serviceMoveInterval = micros.Minute
+	// lateBootGrace is how long after its boot time a rented machine is still expected to come up
+	// for a waiting task.
+	lateBootGrace = 20 * micros.Second
+	// unusedHeartbeats is the number of heartbeat intervals after which an idle machine is taken to
+	// be unused: its heartbeats would have started the tasks that wait for it.
+	unusedHeartbeats = 2
+)
+
+// overdueService is what the leader did for overdue tasks.
+type overdueService struct {
+	servedAt   map[string]micros.Micros // when a machine was last found for a task, by job
+	assignedAt map[string]micros.Micros // when a new machine was last assigned to a task, by job
+	movedAt    map[string]micros.Micros // when a machine was last moved for a task, by machine
+}
+
+// reset forgets everything.
+func (o *overdueService) reset() {
+	o.servedAt = map[string]micros.Micros{}
+	o.assignedAt = map[string]micros.Micros{}
+	o.movedAt = map[string]micros.Micros{}
+}
+
+// forgetBefore removes entries that are older than the given time.
+func (o *overdueService) forgetBefore(at micros.Micros) {
+	for _, times := range []map[string]micros.Micros{o.servedAt, o.assignedAt, o.movedAt} {
+		for id, last := range times {
+			if last < at {
+				delete(times, id)
+			}
+		}
+	}
+}
+
+// within reports whether the time of id in times is less than d ago.
+func (f *fleetState) within(times map[string]micros.Micros, id string, d micros.Micros) bool {
+	at, known := times[id]
+	return known && f.now < at+d
+}
+
+// serveOverdueTasks finds a machine for each overdue task: an idle one of another shard, a rented
+// one or, if the task's shard has none that could ever run it, one that is drained. choice rents
+// machines.
+func (c *Controller) serveOverdueTasks(demands fleet.Demands, choice *fleet.ScaleOut) {
+	f := &c.fleet
+	f.overdueService.forgetBefore(c.now - serviceMoveInterval)
+	tasks := demands.OverdueTasks()
+	if len(tasks) == 0 {
+		return
+	}
+	search := fleet.MachineSearch{
+		Catalog:     c.catalog(),
+		Demands:     demands,
+		Machines:    c.machinesForOverdue(demands),
+		UnusedAfter: unusedHeartbeats * c.cfg.HeartbeatInterval,
+		MovedRecently: func(machine string) bool {
+			return f.within(f.movedAt, machine, serviceMoveInterval)
+		},
+	}
+	arriving := c.arrivingKinds()
+	for i := range tasks {
+		task := &tasks[i]
+		if f.within(f.servedAt, task.Job, serviceInterval) || search.OwnShardServes(task) || takeArriving(task, search.Catalog, &arriving) {
+			continue
+		}
+		if kind, found := c.serveOverdueTask(task, &search, choice); found {
+			c.noteServed(tasks, task.Shard, kind)
+		}
+	}
+}
+
+// takeArriving reports whether a machine is arriving that can run an overdue task. A task that no
+// machine of its shard could run gets it for itself; see assignToOverdue.
+func takeArriving(task *fleet.OverdueTask, catalog fleet.Catalog, arriving *[]fleet.Kind) bool {
+	i := slices.IndexFunc(*arriving, func(kind fleet.Kind) bool { return catalog.CanRunTask(&task.OverdueTask, kind) })
+	if i < 0 {
+		return false
+	}
+	if task.NoMachine {
+		*arriving = slices.Delete(*arriving, i, i+1)
+	}
+	return true
+}
+
+// noteServed records that a machine of a kind was found for the overdue tasks of a shard that it can
+// run.
+func (c *Controller) noteServed(tasks []fleet.OverdueTask, shard int, kind fleet.Kind) {
+	catalog := c.catalog()
+	for i := range tasks {
+		if tasks[i].Shard == shard && catalog.CanRunTask(&tasks[i].OverdueTask, kind) {
+			c.fleet.servedAt[tasks[i].Job] = c.now
+		}
+	}
+}
+
+// serveOverdueTask finds a machine for one overdue task, and returns its kind. found is false if
+// there is none now.
+func (c *Controller) serveOverdueTask(task *fleet.OverdueTask, search *fleet.MachineSearch, choice *fleet.ScaleOut) (kind fleet.Kind, found bool) {
+	if m, found := search.IdleMachine(task); found {
+		c.moveForOverdue(task, m, false)
+		return m.Kind, true
+	}
+	if len(c.fleet.scaleOuts) < maxScaleOuts {
+		if rental, ok := choice.RentalForTask(&task.OverdueTask); ok {
+			c.log(Info, "renting a machine for an overdue task", "job", task.Job, "shard", task.Shard, "waited_s", micros.Micros(task.WaitedUS).Seconds())
+			c.requestScaleOut(choice, rental)
+			return fleet.Kind{Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot}, true
+		}
+	}
+	if !task.NoMachine || c.drainingFor(task, search.Catalog) {
+		return kind, false
+	}
+	m, found := search.BusyMachine(task)
+	if found {
+		c.moveForOverdue(task, m, true)
+	}
+	return m.Kind, found
+}
+
+// moveForOverdue requests the move of a machine to the shard of an overdue task.
+func (c *Controller) moveForOverdue(task *fleet.OverdueTask, m fleet.Machine, drain bool) {
+	c.log(Info, "moving a machine to an overdue task", "job", task.Job, "machine", m.ID, "from", m.From, "to", task.Shard, "drain", drain)
+	c.fleet.movedAt[m.ID] = c.now
+	if drain {
+		c.fleet.plannedMoves[m.ID] = plannedMove{shard: task.Shard, until: c.now + maxMoveDuration}
+	}
+	c.requestMachineRelease(m.ID, peer.Release{ToShard: task.Shard, Drain: drain})
+}
+
+// drainingFor reports whether a machine that can run an overdue task is being drained for the task's
+// shard, and extends the time for that.
+func (c *Controller) drainingFor(task *fleet.OverdueTask, catalog fleet.Catalog) bool {
+	for id, move := range c.fleet.plannedMoves {
+		m := c.machines[id]
+		underWay := m != nil && !move.retire && move.shard == task.Shard && m.rec.Shard != task.Shard && c.now < move.until
+		if underWay && catalog.CanRunTask(&task.OverdueTask, m.kind()) {
+			move.until = c.now + maxMoveDuration
+			c.fleet.plannedMoves[id] = move
+			return true
+		}
+	}
+	return false
+}
+
+// machinesForOverdue returns the idle and busy machines of all shards that are not being released.
+func (c *Controller) machinesForOverdue(demands fleet.Demands) []fleet.Machine {
+	f := &c.fleet
+	var machines []fleet.Machine
+	for _, shard := range demands.Shards() {
+		for _, m := range demands[shard].Machines {
+			onRecord := c.machines[m.ID]
+			movable := m.State == peer.MachineIdle || m.State == peer.MachineBusy
+			if onRecord == nil || !movable || f.within(f.releaseRequestedAt, m.ID, releaseRepeatInterval) {
+				continue
+			}
+			row := fleet.Machine{Machine: m, From: shard, Kind: onRecord.kind(), CPUs: c.types.cpusOf(onRecord)}
+			machines = append(machines, row)
+		}
+	}
+	return machines
+}
+
+// arrivingKinds returns the kinds of machines that are being rented or are booting. Machines that
+// are overdue themselves are left out.
+func (c *Controller) arrivingKinds() []fleet.Kind {
+	f := &c.fleet
+	var kinds []fleet.Kind
+	expected := func(machineType string, age micros.Micros) bool {
+		return age < micros.FromSeconds(c.types.byName[machineType].BootS)+lateBootGrace
+	}
+	for _, req := range f.scaleOuts {
+		kinds = append(kinds, req.kind())
+	}
+	for id, r := range f.rented {
+		if c.machines[id] == nil && expected(r.kind.Type, c.now-r.at) {
+			kinds = append(kinds, r.kind)
+		}
+	}
+	for id, l := range f.listed {
+		age := micros.FromSeconds(l.AgeS) + c.now - f.listedAt
+		if c.unrecorded(id, l) && expected(l.Type, age) {
+			kinds = append(kinds, fleet.Kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot})
+		}
+	}
+	return kinds
+}
+
+// assignToOverdue assigns new machines to the shards of overdue tasks that no machine there could
+// run, and returns the machines that are left.
+func (c *Controller) assignToOverdue(list []unassignedMachine, demands fleet.Demands, byShard map[int][]unassignedMachine) []unassignedMachine {
+	f := &c.fleet
+	catalog := c.catalog()
+	for _, task := range demands.OverdueTasks() {
+		if !task.NoMachine || f.within(f.assignedAt, task.Job, serviceInterval) {
+			continue
+		}
+		i := slices.IndexFunc(list, func(m unassignedMachine) bool { return catalog.CanRunTask(&task.OverdueTask, m.kind) })
+		if i >= 0 {
+			f.assignedAt[task.Job] = c.now
+			byShard[task.Shard] = append(byShard[task.Shard], list[i])
+			list = slices.Delete(slices.Clone(list), i, i+1)
+		}
+	}
+	return list
+}
--- a/internal/controller/scale_out.go
+++ b/internal/controller/scale_out.go
@@ -109,11 +109,9 @@
 	}
 }
 
-// scaleOut rents the cheapest machines that the waiting tasks can use, as long as further machines
-// are worth their price. It rents at most maxMachines machines.
-func (c *Controller) scaleOut(demands fleet.Demands, totals fleet.Totals, maxMachines int) {
-	f := &c.fleet
-	choice := fleet.ScaleOut{
+// scaleOutChoice returns the choice of machines to rent, at most maxMachines.
+func (c *Controller) scaleOutChoice(demands fleet.Demands, totals fleet.Totals, maxMachines int) *fleet.ScaleOut {
+	return &fleet.ScaleOut{
 		Catalog:        c.catalog(),
 		DrainHorizon:   c.cfg.DrainHorizon,
 		Totals:         totals,
@@ -123,20 +121,31 @@
 		MaxMachines:    maxMachines,
 		Unavailable:    c.fleet.unavailable(fleet.PartitionedZones(demands)),
 	}
-	for len(f.scaleOuts) < maxScaleOuts && choice.MaxMachines > 0 {
+}
+
+// scaleOut rents the cheapest machines that the waiting tasks can use, as long as further machines
+// are worth their price.
+func (c *Controller) scaleOut(choice *fleet.ScaleOut) {
+	for len(c.fleet.scaleOuts) < maxScaleOuts && choice.MaxMachines > 0 {
 		rental, ok := choice.Next()
 		if !ok {
 			return
 		}
-		choice.Add(rental)
-		f.scaleOutSequence++
-		rental.RequestID = fmt.Sprintf("r-%d-%d", c.ownership.leader.ownerEpoch, f.scaleOutSequence)
-		req := &scaleOutRequest{rental: rental}
-		f.scaleOuts = append(f.scaleOuts, req)
-		c.sendScaleOut(req)
+		c.requestScaleOut(choice, rental)
 	}
 }
 
+// requestScaleOut sends a rental request, and counts the rental as existing capacity.
+func (c *Controller) requestScaleOut(choice *fleet.ScaleOut, rental wire.RentalRequest) {
+	f := &c.fleet
+	choice.Add(rental)
+	f.scaleOutSequence++
+	rental.RequestID = fmt.Sprintf("r-%d-%d", c.ownership.leader.ownerEpoch, f.scaleOutSequence)
+	req := &scaleOutRequest{rental: rental}
+	f.scaleOuts = append(f.scaleOuts, req)
+	c.sendScaleOut(req)
+}
+
 // sendScaleOut sends a rental request unless it is in flight or was sent a short time ago.
 func (c *Controller) sendScaleOut(req *scaleOutRequest) {
 	if req.inFlight || c.now < req.nextSendAt {
--- a/internal/controller/scheduling.go
+++ b/internal/controller/scheduling.go
@@ -92,6 +92,9 @@
 	shard *shard
 	// free are the machines that had free capacity when they were last checked.
 	free []*machine
+	// needsNoCPU is set if some job of the queue needs no CPU, so that machines without free CPUs
+	// may be of use.
+	needsNoCPU bool
 	// unplaced describes the tasks for which the round found no capacity.
 	unplaced []unplacedTask
 }
@@ -101,18 +104,26 @@
 	c.refreshUsage(s)
 	s.reconciled = c.ownership.allReconciled(s)
 	queue := c.queue(s)
-	round := schedulingRound{shard: s, free: c.machinesWithCapacity(s, queue)}
+	round := schedulingRound{shard: s, needsNoCPU: slices.ContainsFunc(queue, needsNoCPU)}
+	round.free = c.machinesWithCapacity(s, round.needsNoCPU)
 	c.prefetch(s, round.free, true)
 	c.scheduling.preemptionBudget.reset()
 	c.scheduleQueue(&round, queue)
 	c.prefetch(s, round.free, false)
 }
 
-// machinesWithCapacity returns the usable machines of a shard that have free CPUs, or only free
-// memory if some job of the queue needs no CPU. It requests another round for when the backoff of a
-// machine ends.
-func (c *Controller) machinesWithCapacity(s *shard, queue []*job) []*machine {
-	needsNoCPU := slices.ContainsFunc(queue, func(j *job) bool { return j.sub.CPUs <= scheduling.Tolerance })
+// needsNoCPU reports whether the tasks of a job need no CPU.
+func needsNoCPU(j *job) bool { return j.sub.CPUs <= scheduling.Tolerance }
+
+// hasCapacity reports whether a machine has free CPUs, or free memory if tasks without CPUs wait.
+func (c *Controller) hasCapacity(m *machine, needsNoCPU bool) bool {
+	free := c.freeCapacity(m)
+	return free.CPUs > scheduling.Tolerance || needsNoCPU && free.MemGB > scheduling.Tolerance
+}
+
+// machinesWithCapacity returns the usable machines of a shard that have free capacity. It requests
+// another round for when the backoff of a machine ends.
+func (c *Controller) machinesWithCapacity(s *shard, needsNoCPU bool) []*machine {
 	var free []*machine
 	for _, m := range s.machines {
 		c.visited++
@@ -125,7 +136,7 @@
 			}
 			continue
 		}
-		if left := c.freeCapacity(m); left.CPUs > scheduling.Tolerance || needsNoCPU && left.MemGB > scheduling.Tolerance {
+		if c.hasCapacity(m, needsNoCPU) {
 			free = append(free, m)
 		}
 	}
@@ -147,7 +158,7 @@
 			continue
 		}
 		if i%pruneInterval == pruneInterval-1 {
-			round.free = slices.DeleteFunc(round.free, func(m *machine) bool { return c.freeCapacity(m).CPUs <= scheduling.Tolerance })
+			round.free = slices.DeleteFunc(round.free, func(m *machine) bool { return !c.hasCapacity(m, round.needsNoCPU) })
 		}
 		if c.visited-visitedBefore > maxVisitsPerRound(len(s.machines)) {
 			s.resumeAt = position
@@ -170,8 +181,9 @@
 		if !c.packJob(round, j) {
 			return
 		}
-		// The zone constraints of this job say nothing about other jobs.
-		if !j.sub.SameZone && !j.sub.Spread {
+		// Neither the zone constraints of this job nor the machines that it avoids say anything about
+		// other jobs.
+		if !j.sub.SameZone && !j.sub.Spread && !j.run.avoidsMachines(c.now) {
 			round.unplaced = append(round.unplaced, unplacedTask{resourcesOf(j.sub), j.constraint})
 		}
 	}
--- a/internal/fakes/cloud.go
+++ b/internal/fakes/cloud.go
@@ -90,6 +90,11 @@
 // SetOutage makes the cloud answer every request with status 503 until the given time.
 func (c *Cloud) SetOutage(until micros.Micros) { c.outageUntil = until }
 
+// Available reports whether the cloud answers and would rent out another machine.
+func (c *Cloud) Available() bool {
+	return c.config.Scheduler.Now() >= c.outageUntil && c.countRunning() < c.config.MaxMachines
+}
+
 // Add adds a machine with the given boot time, and returns its name.
 func (c *Cloud) Add(kind MachineKind, boot micros.Micros) string {
 	now := c.config.Scheduler.Now()
--- a/internal/peer/demand.go
+++ b/internal/peer/demand.go
@@ -28,6 +28,8 @@
 	// it would keep busy.
 	ArrivalCPUs float64   `msgpack:"n"`
 	Machines    []Machine `msgpack:"m,omitempty"`
+	// OverdueTasks describes tasks that have waited for long, one of each job.
+	OverdueTasks []OverdueTask `msgpack:"d,omitempty"`
 }
 
 // ZoneMachines counts a shard's machines in one zone, without those that are booting. A machine that
@@ -52,6 +54,33 @@
 	Count    int      `msgpack:"w"`
 	WorkUS   int64    `msgpack:"u"` // sum of the estimated run times in microseconds
 	Priority int      `msgpack:"p"` // one of the priorities of package wire
+	// SizeCPUs is the mean number of CPUs of a machine that a task takes up, which is more than
+	// CPUs if the task takes a larger part of the machine's memory or GPUs.
+	SizeCPUs float64 `msgpack:"k,omitempty"`
+}
+
+// Size returns how many CPUs of a machine each task takes up. Versions that send no SizeCPUs count
+// CPUs only.
+func (w *WaitingTasks) Size() float64 { return max(w.CPUs, w.SizeCPUs) }
+
+// OverdueTask is a task that has waited for long although the limits of its team and groups allow
+// it to start. The leader finds a machine for it.
+type OverdueTask struct {
+	Job     string   `msgpack:"j"`
+	Types   []string `msgpack:"t,omitempty"`
+	AnyType bool     `msgpack:"a,omitempty"` // any type will do; Types is ignored
+	// Zone is the zone that the job or its other tasks prescribe; empty: any. ExcludedZones are
+	// those in which the job has as many tasks as it may have.
+	Zone          string   `msgpack:"z,omitempty"`
+	ExcludedZones []string `msgpack:"x,omitempty"`
+	Spot          bool     `msgpack:"s,omitempty"` // the task may run on a spot machine
+	CPUs          float64  `msgpack:"c"`
+	GPUs          float64  `msgpack:"g,omitempty"`
+	MemGB         float64  `msgpack:"m"`
+	// WaitedUS is the time in microseconds for which none of the job's waiting tasks has started.
+	WaitedUS int64 `msgpack:"w"`
+	// NoMachine is set if no machine of the shard could run the task even if it were empty.
+	NoMachine bool `msgpack:"n,omitempty"`
 }
 
 // Machine describes one machine of a shard that is relevant to the leader's decisions.
--- a/internal/simulation/check_service.go
+++ b/internal/simulation/check_service.go
@@ -102,14 +102,17 @@
 		// after ActiveTime for as long as a cancellation may take.
 		limit += cancelWithin + micros.Minute
 	}
+	if p.Scarce {
+		limit += longestScarceTask + maxWaitDespiteCapacity
+	}
 	if p.Groups != nil {
 		limit += 2 * micros.Minute // quota limits are low, and drop to zero at times
 	}
 	return limit
 }
 
-// checkWaiting checks that no job is left waiting although a machine has room for its tasks and its
-// team and groups are within their limits.
+// checkWaiting checks that no job is left waiting although a machine has room for its tasks or the
+// cloud would give one, and its team and groups are within their limits.
 func (s *Simulation) checkWaiting() {
 	if s.now < s.plan.ActiveTime+settleTime {
 		return
@@ -140,13 +143,13 @@
 }
 
 // waitsDespiteCapacity reports whether an unfinished task of the job is on no machine although the
-// limits allow it and a machine has capacity for it now.
+// limits allow it and a machine has capacity for it now, or the cloud would give one.
 func (s *Simulation) waitsDespiteCapacity(u *user) bool {
 	placed, zones := s.placedTasks(u)
 	if u.unplaced(placed) == 0 || !s.withinTeamLimit(u) || !s.withinGroupLimits(u) {
 		return false
 	}
-	return slices.ContainsFunc(s.machineNames, func(name string) bool {
+	return s.cloudWouldGive(u, zones) || slices.ContainsFunc(s.machineNames, func(name string) bool {
 		w := s.workers[name]
 		return w.usable() && w.allowedBy(u) && w.Fits(&u.Job) && u.allowsZone(w.Zone, zones)
 	})
@@ -186,8 +189,12 @@
 // allowedBy reports whether the user's job allows machines of this type, spot or not.
 func (w *worker) allowedBy(u *user) bool {
 	kindAllowed := !w.Spot || u.Submission.Spot
-	typeAllowed := u.Submission.Types == nil || slices.Contains(u.Submission.Types, w.Type)
-	return kindAllowed && typeAllowed
+	return kindAllowed && u.allowsType(w.Type)
+}
+
+// allowsType reports whether the job allows machines of a type.
+func (u *user) allowsType(name string) bool {
+	return u.Submission.Types == nil || slices.Contains(u.Submission.Types, name)
 }
 
 // allowsZone reports whether one more task of the job may run in a zone, given the number of its
--- a/internal/simulation/counts.go
+++ b/internal/simulation/counts.go
@@ -27,6 +27,8 @@
 	DuplicateHeartbeats, Unreachable int
 	// ZoneCuts counts how often a zone was cut off; Died and Hung count machines.
 	ZoneCuts, Died, Hung int
+	// ScarceFaults counts the faults of Plan.Scarce.
+	ScarceFaults int
 	// LongestInputWait is the longest time that an input waited in the backlog of a slow
 	// controller.
 	LongestInputWait micros.Micros
--- a/internal/simulation/jobs.go
+++ b/internal/simulation/jobs.go
@@ -42,6 +42,9 @@
 	if s.plan.Churn {
 		u.adaptToChurn(i)
 	}
+	if s.plan.Scarce {
+		u.adaptToScarcity()
+	}
 	shortest, longest := u.drawTaskDurations()
 	for range u.Submission.Tasks {
 		u.TaskDurations = append(u.TaskDurations, s.between(shortest, longest))
@@ -110,6 +113,9 @@
 func (u *user) drawTaskDurations() (shortest, longest micros.Micros) {
 	s := u.sim
 	shortest, longest = 2*sec, 12*sec
+	if s.plan.Scarce {
+		return shortest, longestScarceTask
+	}
 	if u.willCancel {
 		longest = micros.Minute // shorter jobs would end before the deadline of their cancellation
 	}
--- a/internal/simulation/plan.go
+++ b/internal/simulation/plan.go
@@ -18,6 +18,9 @@
 	InitialMachines int
 	// Large gives jobs many tasks, starts with more machines and makes the workers' ticks longer.
 	Large bool
+	// Scarce gives jobs few tasks of unusual sizes that run long, and adds faults that leave hardly
+	// any machine that can run them; see scarce_machines.go.
+	Scarce bool
 	// DAGs is the number of sets of interdependent jobs that are submitted in addition to Jobs.
 	DAGs int
 	// Churn gives every job one task, submits four jobs a second and cancels a quarter of them.
--- a/internal/simulation/plans.go
+++ b/internal/simulation/plans.go
@@ -68,6 +68,7 @@
 		upgradePlans(),
 		groupPlans(),
 		slowFaultPlans(),
+		scarcePlans(),
 	)
 	for i := range plans {
 		plans[i].Plan.ActiveTime = rulesActiveTime
@@ -183,3 +184,12 @@
 		{"very slow steps, faults", Plan{Teams: fourTeams(), Nodes: 3, Machines: 10, Jobs: 25, Faults: true, SlowStep: 300 * ms}, 6},
 	}
 }
+
+// scarcePlans returns the plans with few machines and few jobs of unusual sizes.
+func scarcePlans() []NamedPlan {
+	return []NamedPlan{
+		{"scarce machines, sharded by job", Plan{Teams: oneTeam(), Nodes: 3, Machines: 12, Jobs: 6, Scarce: true}, 12},
+		{"scarce machines, sharded by team", Plan{Teams: fourTeams(), Nodes: 3, Machines: 12, Jobs: 6, Scarce: true}, 12},
+		{"scarce machines and faults, sharded by job", Plan{Teams: oneTeam(), Nodes: 3, Machines: 12, Jobs: 8, Scarce: true, Faults: true}, 12},
+	}
+}
--- a/internal/simulation/rules_test.go
+++ b/internal/simulation/rules_test.go
@@ -77,6 +77,9 @@
 	if p.SlowStep > 0 && s.LongestInputWait < 3*p.SlowStep {
 		t.Errorf("slow steps delayed no input enough: inputs waited for %v s at most, want 3 times SlowStep or more", s.LongestInputWait.Seconds())
 	}
+	if p.Scarce && passed && s.ScarceFaults < 5 {
+		t.Errorf("%d faults of scarce machines, want 5", s.ScarceFaults)
+	}
 	if p.StaleJobs && passed && (s.StaleEpisodes < 2 || s.Concurrent.Cancelled == 0) {
 		t.Errorf("too few stale views: %d episodes, %d jobs cancelled, want at least 2 and 1", s.StaleEpisodes, s.Concurrent.Cancelled)
 	}
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -173,6 +173,7 @@
 		{p.UpgradeFrom != ReleaseCurrent, s.scheduleUpgrade},
 		{p.Faults, s.scheduleFaults},
 		{p.FleetFaults, s.scheduleFleetFaults},
+		{p.Scarce, s.scheduleScarcity},
 		{p.ReconnectionWaves, s.scheduleReconnectionWaves},
 		{p.SlowStep > 0, s.scheduleSlowSteps},
 		{p.ConcurrentFaults, s.scheduleConcurrentFaults},
