Failures: a throttled job's next task is tried once the last one runs well

Cause: retryPending refused a throttled job any start while one of its tasks was active. The throttle ends when a task is done, or when twice as many run well as machines failed one, which a small job never reaches: with long tasks the refusal has no end in time.

Change: another task is tried once those that are being tried have run for 5 s and for longer than any failed task of the job, in a round or with a machine's heartbeat. Each failure sets the backoff anew, so that a job that fails everywhere is tried as rarely as before.

--- a/internal/controller/machine_avoidance_test.go
+++ b/internal/controller/machine_avoidance_test.go
@@ -83,16 +83,19 @@
 }
 
 // TestThrottledJobWantsMachine guards against a job that failed on three machines and never gets
-// another one to be tried on, because it is no demand: it counts as one waiting task whenever none of
-// its tasks is being tried.
+// another one to be tried on, because it is no demand, or whose other tasks wait for as long as the
+// first one runs: it counts as one waiting task, and may try it, whenever no task is being tried or
+// those that are have run well.
 func TestThrottledJobWantsMachine(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
 		active int
+		ran    micros.Micros
 		want   int
 	}{
-		{"nothing is tried", 0, 1},
-		{"a task is being tried", 1, 0},
+		{"nothing is tried", 0, 0, 1},
+		{"a task has just been started", 1, 0, 0},
+		{"a task runs well", 1, 6 * sec, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := newHarness(t, nil)
@@ -107,7 +110,7 @@
 				h.c.recordFailure(&attempt{job: j, machine: h.c.machines[id], index: 0})
 			}
 			for i := range tc.active {
-				j.run.active[i] = &attempt{job: j, machine: h.c.machines["vm-1"], runAt: h.now}
+				j.run.active[i] = &attempt{job: j, machine: h.c.machines["vm-1"], runAt: h.now - tc.ran}
 			}
 			h.c.queue(h.c.ownership.shards[0])
 			count := 0
@@ -118,6 +121,10 @@
 			if count != tc.want {
 				t.Errorf("%d tasks wait for machines, want %d", count, tc.want)
 			}
+			h.c.now = j.run.nextRetryAt
+			if got := !h.c.waitsForRetry(j); got != (tc.want > 0) {
+				t.Errorf("a task may be tried once the backoff is over: %v, want %v", got, tc.want > 0)
+			}
 		})
 	}
 }
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -40,8 +40,7 @@
 	// runsWellMargin is by how much longer than any failed task of its job a task must have run
 	// to be considered running well.
 	runsWellMargin = micros.Second
-	// provenRunTime is how long a task must have run on another machine to show that the job's
-	// tasks can run.
+	// provenRunTime is how long a task must have run to show that the job's tasks can run.
 	provenRunTime = 5 * micros.Second
 
 	// minRetryBackoff and maxRetryBackoff bound the time between two tries of a job that fails
@@ -142,8 +141,7 @@
 
 // jobAtFault reports whether a job has failed on several machines, has never completed a task, and
 // has few tasks that run well. The last condition is for large arrays: such a job runs on hundreds
-// of machines, some of which may be faulty. A task runs well if it has run for longer than any
-// failed task of its job had.
+// of machines, some of which may be faulty.
 func (c *Controller) jobAtFault(j *job) bool {
 	r := j.run
 	if len(r.failuresByMachine) < faultyJobAfterMachines || r.doneCount > 0 {
@@ -151,13 +149,31 @@
 	}
 	runningWell := 0
 	for _, att := range r.active {
-		if att.runTime(c.now) > r.longestFailedRun+runsWellMargin {
+		if c.runsWell(r, att) {
 			runningWell++
 		}
 	}
 	return runningWell < runsWellFactor*len(r.failuresByMachine)
 }
 
+// runsWell reports whether an attempt of a job has run for longer than any failed task of the job
+// had.
+func (c *Controller) runsWell(r *run, att *attempt) bool {
+	return att.runTime(c.now) > r.longestFailedRun+runsWellMargin
+}
+
+// mayTryTask reports whether another task of a throttled job may be tried: each task that is being
+// tried has run well for provenRunTime. So the trials of a job whose tasks run do not end with the
+// first one, however long that runs.
+func (c *Controller) mayTryTask(j *job) bool {
+	for _, att := range j.run.active {
+		if !c.runsWell(j.run, att) || att.runTime(c.now) < provenRunTime {
+			return false
+		}
+	}
+	return true
+}
+
 // provenElsewhere reports whether the job has completed a task, or has run one on a machine other
 // than m for longer than provenRunTime.
 func (c *Controller) provenElsewhere(j *job, m *machine) bool {
--- a/internal/controller/scheduling.go
+++ b/internal/controller/scheduling.go
@@ -203,22 +203,23 @@
 	r.nextRetryAt = 0
 }
 
-// retryPending reports whether the retry backoff of a job forbids starting a task now. A job that
-// has failed on several machines and succeeded on none runs one task at a time, at growing
-// intervals, until its user cancels it.
+// waitsForRetry reports whether the retry backoff of a job forbids starting a task now. A job that
+// has failed on several machines and succeeded on none has its tasks tried one at a time, at growing
+// intervals, until its user cancels it; see mayTryTask.
+func (c *Controller) waitsForRetry(j *job) bool {
+	return j.run.nextRetryAt != 0 && (c.now < j.run.nextRetryAt || !c.mayTryTask(j))
+}
+
+// retryPending reports whether the retry backoff of a job forbids starting a task now. It requests
+// a scheduling round for when the backoff ends.
 func (c *Controller) retryPending(j *job) bool {
-	r := j.run
-	if r.nextRetryAt == 0 {
+	if !c.waitsForRetry(j) {
 		return false
 	}
-	if len(r.active) > 0 {
-		return true
+	if until := j.run.nextRetryAt - c.now; until > 0 && len(j.run.active) == 0 {
+		c.scheduleLater(until)
 	}
-	if c.now < r.nextRetryAt {
-		c.scheduleLater(r.nextRetryAt - c.now)
-		return true
-	}
-	return false
+	return true
 }
 
 // packJob assigns a job's waiting tasks to the machines that suit it best, and reports whether
@@ -258,7 +259,7 @@
 			continue
 		}
 		considered++
-		if j.run.nextRetryAt != 0 || c.quota.overLimit(s, j) {
+		if c.waitsForRetry(j) || c.quota.overLimit(s, j) {
 			continue
 		}
 		if c.fits(m, j) {
--- a/internal/controller/waiting_tasks.go
+++ b/internal/controller/waiting_tasks.go
@@ -44,7 +44,7 @@
 	headroom := c.teamHeadroom(s)
 	quotas := quotaHeadroom{}
 	for _, j := range c.queue(s) {
-		pending := j.tasksWantingMachines()
+		pending := c.tasksWantingMachines(j)
 		count := 0
 		if pending > 0 {
 			count = headroom.take(j, pending)
@@ -91,9 +91,8 @@
 }
 
 // tasksWantingMachines returns how many of a job's waiting tasks may start as soon as there are
-// machines for them. A job that fails on every machine is tried one task at a time; it needs a
-// machine for that.
-func (j *job) tasksWantingMachines() int {
+// machines for them. A throttled job needs a machine for the next task that is tried.
+func (c *Controller) tasksWantingMachines(j *job) int {
 	r := j.run
 	if r == nil || !r.checkpointApplied || r.end.requested() {
 		return 0
@@ -102,10 +101,10 @@
 	switch {
 	case r.nextRetryAt == 0:
 		return pending
-	case len(r.active) > 0:
-		return 0
+	case c.mayTryTask(j):
+		return min(pending, 1)
 	}
-	return min(pending, 1)
+	return 0
 }
 
 // newWaitingTasks returns the group that a job's tasks belong to, with no tasks counted yet.
