Fleet: a shard does not take a machine back that is drained for an overdue task

Cause: a move under way is given up when the machine's own shard needs it again. A task in a shard without any machine, in a fleet that may not grow, was refused each machine as long as the other shards had less than their part: a refusal without an end.

Change: moves to overdue tasks are carried out.

--- a/internal/controller/overdue_service.go
+++ b/internal/controller/overdue_service.go
@@ -141,7 +141,7 @@
 	c.log(Info, "moving a machine to an overdue task", "job", task.Job, "machine", m.ID, "from", m.From, "to", task.Shard, "drain", drain)
 	c.fleet.movedAt[m.ID] = c.now
 	if drain {
-		c.fleet.plannedMoves[m.ID] = plannedMove{shard: task.Shard, until: c.now + maxMoveDuration}
+		c.fleet.plannedMoves[m.ID] = plannedMove{shard: task.Shard, until: c.now + maxMoveDuration, overdue: true}
 	}
 	c.requestMachineRelease(m.ID, peer.Release{ToShard: task.Shard, Drain: drain})
 }
@@ -154,6 +154,7 @@
 		underWay := m != nil && !move.retire && move.shard == task.Shard && m.rec.Shard != task.Shard && c.now < move.until
 		if underWay && catalog.CanRunTask(&task.OverdueTask, m.kind()) {
 			move.until = c.now + maxMoveDuration
+			move.overdue = true
 			c.fleet.plannedMoves[id] = move
 			return true
 		}
--- a/internal/controller/rebalancing.go
+++ b/internal/controller/rebalancing.go
@@ -16,7 +16,9 @@
 type plannedMove struct {
 	shard  int
 	retire bool // the machine is returned to the cloud
-	until  micros.Micros
+	// overdue is set if the machine moves to an overdue task. Its shard does not get it back before.
+	overdue bool
+	until   micros.Micros
 }
 
 // rebalance moves machines to the shards with waiting tasks.
@@ -61,7 +63,7 @@
 	case !planned || c.now >= move.until:
 	case move.retire:
 		c.requestMachineRelease(m.ID, peer.Release{Cordon: true, Drain: true})
-	case choice.NeededInOwnShard(m):
+	case choice.NeededInOwnShard(m) && !move.overdue:
 		delete(c.fleet.plannedMoves, m.ID)
 	default:
 		choice.AddDraining(m, move.shard)
