Fleet: records of machines that a former leader returned are dropped

What callers saw (simulation): after the leader changed while machines were being returned, three records stayed for ever and counted in the size of the fleet; with max_machines of 6 only three machines could be rented and a job waited for 95 s beside a cloud that would have given more.

Cause: a leader drops the records of the machines whose return it has seen confirmed, and of machines that are missing from the cloud's list while their owner calls them silent. A new leader has seen no confirmation, and the owner, told of the return, no longer named the machines.

Change: an owner names a returned machine as silent once its record should have been dropped a minute ago. The leader finds it missing, returns it once more and drops the record.

Evidence: TestRecordOfReturnedMachineIsDropped fails without the row ("1 machines count after the timeout").

--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -85,7 +85,13 @@
 	var busy []peer.Machine
 	zones := map[string]*peer.ZoneMachines{}
 	for _, m := range s.machines {
-		if m.view == nil || m.returned {
+		if m.view == nil {
+			continue
+		}
+		if m.returned {
+			if row, due := c.returnedRow(m); due {
+				remainingBytes = addRow(d, row, remainingBytes)
+			}
 			continue
 		}
 		zone := zones[m.rec.Zone]
@@ -100,9 +106,8 @@
 		c.addAttempts(m, d, &row)
 		if row.State == peer.MachineBusy {
 			busy = append(busy, row)
-		} else if size := rowOverheadBytes + len(row.ID); size <= remainingBytes {
-			remainingBytes -= size
-			d.Machines = append(d.Machines, row)
+		} else {
+			remainingBytes = addRow(d, row, remainingBytes)
 		}
 	}
 	d.Machines = append(d.Machines, c.busyRows(busy)...)
@@ -112,6 +117,17 @@
 	return remainingBytes
 }
 
+// addRow adds the row of a machine to the demand of its shard if it takes at most remainingBytes, and
+// returns what remains of them.
+func addRow(d *peer.Demand, row peer.Machine, remainingBytes int) int {
+	size := rowOverheadBytes + len(row.ID)
+	if size > remainingBytes {
+		return remainingBytes
+	}
+	d.Machines = append(d.Machines, row)
+	return remainingBytes - size
+}
+
 // addMachine adds a machine to the sums of its shard and its zone according to its state, and
 // returns its row.
 func (c *Controller) addMachine(s *shard, m *machine, d *peer.Demand, zone *peer.ZoneMachines) peer.Machine {
--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -12,8 +12,9 @@
 	// it is out of date.
 	agentEpoch uint64
 	// returned is set once the cloud has confirmed the machine's return: it never comes back.
-	returned bool
-	view     *machineView // nil unless this node owns its shard
+	returned   bool
+	returnedAt micros.Micros // when this node learned that
+	view       *machineView  // nil unless this node owns its shard
 }
 
 // machineRecord holds the attributes of a machine as its record set has them. The address may
--- a/internal/controller/returned_machines.go
+++ b/internal/controller/returned_machines.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"garnethitch/internal/micros"
+	"garnethitch/internal/peer"
 	"garnethitch/internal/wire"
 )
 
@@ -14,6 +15,9 @@
 	// of its machines was returned, or once rewriteDelay has passed since the first return.
 	rewriteDivisor = 4
 	rewriteDelay   = 20 * micros.Second
+	// returnedRecordTimeout is the time after which the record of a returned machine should have
+	// been dropped. The leader that returned the machine has ended if it still exists.
+	returnedRecordTimeout = micros.Minute
 )
 
 // machineReturns holds the machines that are returned to the cloud, by ID.
@@ -55,6 +59,7 @@
 		return
 	}
 	m.returned = true
+	m.returnedAt = c.now
 	v := m.view
 	if v == nil {
 		return
@@ -68,6 +73,14 @@
 	c.schedulingDue = true
 }
 
+// returnedRow returns the row of a returned machine for the demand of its shard. It is due if the
+// machine's record should have been dropped long ago: a new leader does not know that its
+// predecessor has returned the machine, whose record would count in the size of the fleet for ever.
+func (c *Controller) returnedRow(m *machine) (row peer.Machine, due bool) {
+	since := c.now - m.returnedAt
+	return peer.Machine{ID: m.id, State: peer.MachineSilent, InStateUS: int64(since)}, since > returnedRecordTimeout
+}
+
 // dropReturned rewrites record sets without their returned machines. It does not rewrite a record
 // set for each returned machine, since all other machines of the set send an additional heartbeat
 // after a rewrite.
--- a/internal/controller/returned_machines_test.go
+++ b/internal/controller/returned_machines_test.go
@@ -45,3 +45,21 @@
 		})
 	}
 }
+
+// TestRecordOfReturnedMachineIsDropped guards against a fleet that can't grow: the record of a machine
+// that a former leader returned, and that its owner therefore no longer reports, counts in the size
+// of the fleet until the new leader learns of it and drops it.
+func TestRecordOfReturnedMachineIsDropped(t *testing.T) {
+	h := newHarness(t, nil)
+	h.reconcileMachine("vm-1")
+	h.cloudMachines = nil
+	h.c.machineReturned("vm-1") // the leader has ended before it dropped the record
+	h.run(returnedRecordTimeout - 10*sec)
+	if n, _ := h.c.countFleet(); n != 1 {
+		t.Fatalf("%d machines count before the timeout, want 1: the test does not exercise its case", n)
+	}
+	h.run(30 * sec)
+	if n, _ := h.c.countFleet(); n != 0 {
+		t.Errorf("%d machines count after the timeout, want none", n)
+	}
+}
