Dependencies: ends that left memory are looked for only where they matter

Cause, as for long pipelines: a controller that owns no dependent of a job whose end it does not know searched all dependents of each such job in every maintenance run, 300 ms apart: names times jobs, for as long as the jobs are open.

Change: such a name is left alone until this controller owns a job that names it.

--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"garnethitch/internal/controller/statestore"
 	"garnethitch/internal/micros"
 	"garnethitch/internal/wire"
 )
@@ -14,18 +13,9 @@
 // and the states of their dependencies. The owner of a dependent acts on it when it first sees the
 // dependent's record, when it becomes its owner, and when one of its dependencies ends.
 
-const (
-	// unknownReadDelay is the time for which the watch may still deliver an unknown dependency
-	// before its record is read.
-	unknownReadDelay = micros.Second
-	// unknownReadInterval is the time between two reads of the same unknown dependency.
-	unknownReadInterval = 2 * micros.Second
-	// maxDependencyReads bounds the reads of unknown dependencies in flight.
-	maxDependencyReads = 4
-	// maxBlockedViewAge is the greatest age of the view of jobs at which a blocked job is answered
-	// as pending. The age counts from when the request that brought the view was sent.
-	maxBlockedViewAge = 10 * micros.Second
-)
+// maxBlockedViewAge is the greatest age of the view of jobs at which a blocked job is answered as
+// pending. The age counts from when the request that brought the view was sent.
+const maxBlockedViewAge = 10 * micros.Second
 
 // linkDependencies adds a new job to the dependency graph. It computes the job's effective priority
 // and deadline from its dependents, marks the job if a dependency is cancelled, and queues the
@@ -260,52 +250,3 @@
 	}
 	return j.uncertainDependencies == 0
 }
-
-// readUnknownDependencies reads the records of dependencies that are not in the job table, for the
-// jobs that this node owns. Such a dependency may have ended and been evicted from memory.
-func (c *Controller) readUnknownDependencies() {
-	t := &c.jobs
-	if len(t.unknownDependencies) == 0 {
-		return
-	}
-	ownedAndBlocked := func(d *job) bool { return d.run != nil && !d.dependencyCancelled }
-	for _, id := range sortedKeys(t.unknownDependencies) {
-		if t.readsInFlight >= maxDependencyReads {
-			return
-		}
-		if c.now < t.unknownDependencies[id] || !slices.ContainsFunc(t.dependents[id].jobs, ownedAndBlocked) {
-			continue
-		}
-		t.unknownDependencies[id] = c.now + unknownReadInterval
-		t.readsInFlight++
-		c.readJob(statestore.ClassDependents, id, func(statestore.Lookup) { t.readsInFlight-- })
-	}
-}
-
-// lookUpDependencies finds out whether all dependencies of a submission were accepted. It calls done
-// with LookupFound if they were, with LookupMissing if one certainly was not, and with LookupFailed
-// if that can't be determined now.
-func (c *Controller) lookUpDependencies(sub wire.Submission, done func(statestore.Lookup)) {
-	var unknown []string
-	for _, id := range sub.DependsOn {
-		if !c.jobs.contains(id) {
-			unknown = append(unknown, id)
-		}
-	}
-	if len(unknown) == 0 {
-		done(statestore.LookupFound)
-		return
-	}
-	remaining, result := len(unknown), statestore.LookupFound
-	for _, id := range unknown {
-		c.readJobForUser(id, func(found statestore.Lookup) {
-			if found == statestore.LookupMissing || found == statestore.LookupFailed && result == statestore.LookupFound {
-				result = found
-			}
-			remaining--
-			if remaining == 0 {
-				done(result)
-			}
-		})
-	}
-}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -83,6 +83,7 @@
 func (c *Controller) startRun(s *shard, j *job) {
 	j.run = newRun(j, s.ownerEpoch, c.now)
 	s.queueStale = true
+	c.requestDependencyReads(j)
 	if j.dependencyCancelled {
 		j.run.end.request(wire.StateCancelled) // recordDependents writes the record
 	}
--- a/internal/controller/long_pipelines_test.go
+++ b/internal/controller/long_pipelines_test.go
@@ -104,6 +104,36 @@
 	}
 }
 
+// TestWorkOfUnknownDependencies guards against each maintenance run searching all dependents of all
+// dependencies whose ends are not in memory, at a controller that owns none of the dependents. Once it
+// owns them, it reads the ends.
+func TestWorkOfUnknownDependencies(t *testing.T) {
+	const n = 150
+	h := newOwnerHarness(t, withPeer)
+	h.unreadablePrefix = wire.PrefixJob
+	for i := range n {
+		h.record(dependentSubmission(chainID(n+i), 1, jobIDs(100, n)...))
+	}
+	for i := range n {
+		h.c.stopRun(h.c.jobs.open[chainID(n+i)])
+	}
+	h.run(3 * sec)
+	h.maxVisited = 0
+	h.run(5 * sec)
+	if h.maxVisited > n {
+		t.Errorf("a step visits %d, want at most %d", h.maxVisited, n)
+	}
+	h.unreadablePrefix = ""
+	for i := range n {
+		h.keys[wire.JobKey(chainID(i))] = wire.KeyValue{Key: wire.JobKey(chainID(i)), ModRevision: 1, Value: encoded(t, wire.JobRecord{State: wire.StateDone, Tasks: 1})}
+		h.c.startRun(h.c.ownership.shards[0], h.c.jobs.open[chainID(n+i)])
+	}
+	h.run(micros.Minute)
+	if j := h.c.jobs.open[chainID(n)]; j.blocked() {
+		t.Errorf("%d dependencies are unknown a minute after the jobs have become this node's", len(j.unmetDependencies))
+	}
+}
+
 // BenchmarkPipeline shows how the cost of a pipeline grows in which each job names all earlier ones
 // and the last one has a deadline. Compare visits and allocations for each name rather than times.
 func BenchmarkPipeline(b *testing.B) {
