Fleet: tasks that wait for long are called starved; the same run gives the same choices

"Overdue" names jobs that should have begun, a notion of the owner's. What the leader serves are starved tasks.

--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -64,7 +64,7 @@
 		GuaranteedCPUs: c.guaranteedCPUs(s),
 	}
 	remainingBytes = c.addMachines(s, &d, remainingBytes)
-	d.WaitingTasks, d.OverdueTasks = c.waitingTasksOf(s)
+	d.WaitingTasks, d.StarvedTasks = c.waitingTasksOf(s)
 	return d, remainingBytes
 }
 
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -33,7 +33,7 @@
 	assignments
 	machineReturns
 	machineMoves
-	overdueService
+	starvationService
 }
 
 // assignments holds the machines that are being assigned to shards.
@@ -60,7 +60,7 @@
 	f.assignments.reset()
 	f.machineReturns.reset()
 	f.machineMoves.reset()
-	f.overdueService.reset()
+	f.starvationService.reset()
 }
 
 // reset discards all assignments.
--- a/internal/controller/fleet/catalog.go
+++ b/internal/controller/fleet/catalog.go
@@ -73,13 +73,26 @@
 	return need.Fits(scheduling.Resources{CPUs: machineType.CPUs, GPUs: machineType.GPUs, MemGB: machineType.MemGB})
 }
 
-// CanRunTask reports whether an overdue task can run on machines of a kind.
-func (c Catalog) CanRunTask(task *peer.OverdueTask, kind Kind) bool {
+// CanRunTask reports whether a starved task can run on machines of a kind.
+func (c Catalog) CanRunTask(task *peer.StarvedTask, kind Kind) bool {
 	return !slices.Contains(task.ExcludedZones, kind.Zone) && c.CanRun(groupOf(task), kind)
 }
 
-// groupOf returns a group that consists of an overdue task.
-func groupOf(task *peer.OverdueTask) peer.WaitingTasks {
+// WantedKinds returns a function that reports whether any of the tasks can run on machines of a kind.
+func (c Catalog) WantedKinds(tasks []StarvedTask) func(Kind) bool {
+	wanted := map[Kind]bool{}
+	return func(kind Kind) bool {
+		result, known := wanted[kind]
+		if !known {
+			result = slices.ContainsFunc(tasks, func(task StarvedTask) bool { return c.CanRunTask(&task.StarvedTask, kind) })
+			wanted[kind] = result
+		}
+		return result
+	}
+}
+
+// groupOf returns a group that consists of a starved task.
+func groupOf(task *peer.StarvedTask) peer.WaitingTasks {
 	return peer.WaitingTasks{
 		Types:   task.Types,
 		AnyType: task.AnyType,
--- a/internal/controller/fleet/scale_in.go
+++ b/internal/controller/fleet/scale_in.go
@@ -23,7 +23,7 @@
 	CPUPrice float64 // price of one CPU per hour
 	IdleFor  micros.Micros
 	Unusable bool // true if tasks wait and none of them can run on the machine
-	Wanted   bool // true if an overdue task of any shard can run on the machine
+	Wanted   bool // true if a starved task of any shard can run on the machine
 }
 
 // ScaleIn decides which idle machines to return to the cloud.
--- a/internal/controller/fleet/scale_out.go
+++ b/internal/controller/fleet/scale_out.go
@@ -88,10 +88,10 @@
 	return wire.RentalRequest{}, false
 }
 
-// RentalForTask returns the rental of the cheapest machine that can run an overdue task, whether the
+// RentalForTask returns the rental of the cheapest machine that can run a starved task, whether the
 // fleet is large enough or not. It returns false if no machine of the kinds that can run it is
 // available, or the fleet may not grow.
-func (s *ScaleOut) RentalForTask(task *peer.OverdueTask) (wire.RentalRequest, bool) {
+func (s *ScaleOut) RentalForTask(task *peer.StarvedTask) (wire.RentalRequest, bool) {
 	if s.MaxMachines <= 0 {
 		return wire.RentalRequest{}, false
 	}
--- a/internal/controller/fleet/overdue.go
+++ b/internal/controller/fleet/starvation.go
@@ -17,51 +17,51 @@
 	maxWait = 40 * micros.Second
 )
 
-// OverdueTask is a task that has waited for so long that the leader finds a machine for it, whatever
+// StarvedTask is a task that has waited for so long that the leader finds a machine for it, whatever
 // that costs. In order of cost the leader moves an idle machine to the task's shard, rents a
 // machine, or has a busy machine drained.
-type OverdueTask struct {
-	peer.OverdueTask
+type StarvedTask struct {
+	peer.StarvedTask
 	Shard int
 }
 
-// OverdueTasks returns the tasks of all shards that have waited for too long, those without any
+// StarvedTasks returns the tasks of all shards that have waited for too long, those without any
 // machine first, and then those that have waited longest.
-func (d Demands) OverdueTasks() []OverdueTask {
-	var overdue []OverdueTask
+func (d Demands) StarvedTasks() []StarvedTask {
+	var starved []StarvedTask
 	for _, shard := range d.Shards() {
-		for _, task := range d[shard].OverdueTasks {
+		for _, task := range d[shard].StarvedTasks {
 			limit := maxWait
 			if task.NoMachine {
 				limit = maxWaitWithoutMachine
 			}
 			if micros.Micros(task.WaitedUS) >= limit {
-				overdue = append(overdue, OverdueTask{task, shard})
+				starved = append(starved, StarvedTask{task, shard})
 			}
 		}
 	}
-	slices.SortStableFunc(overdue, func(a, b OverdueTask) int {
+	slices.SortStableFunc(starved, func(a, b StarvedTask) int {
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), -cmp.Compare(a.WaitedUS, b.WaitedUS), cmp.Compare(a.Job, b.Job))
 	})
-	return overdue
+	return starved
 }
 
 // rank returns 0 for a task that no machine of its shard could run, which goes first, and otherwise
 // 1.
-func (t *OverdueTask) rank() int {
+func (t *StarvedTask) rank() int {
 	if t.NoMachine {
 		return 0
 	}
 	return 1
 }
 
-// MachineSearch finds machines for overdue tasks.
+// MachineSearch finds machines for starved tasks.
 type MachineSearch struct {
 	Catalog Catalog
 	Demands Demands
 	// Machines holds the idle and busy machines of all shards.
 	Machines []Machine
-	// MovedRecently reports whether a machine was moved for an overdue task so recently that it is
+	// MovedRecently reports whether a machine was moved for a starved task so recently that it is
 	// not moved again.
 	MovedRecently func(machine string) bool
 	// UnusedAfter is how long a machine may be idle in a shard that has tasks for it before it is
@@ -70,30 +70,30 @@
 }
 
 // OwnShardServes reports whether an idle machine of the task's own shard is about to run it.
-func (s *MachineSearch) OwnShardServes(task *OverdueTask) bool {
+func (s *MachineSearch) OwnShardServes(task *StarvedTask) bool {
 	return slices.ContainsFunc(s.Machines, func(m Machine) bool {
-		return m.From == task.Shard && m.Idle() && !s.unused(m) && s.Catalog.CanRunTask(&task.OverdueTask, m.Kind)
+		return m.From == task.Shard && m.Idle() && !s.unused(m) && s.Catalog.CanRunTask(&task.StarvedTask, m.Kind)
 	})
 }
 
 // IdleMachine returns an idle machine of another shard that can run the task and that its shard does
 // not need.
-func (s *MachineSearch) IdleMachine(task *OverdueTask) (found Machine, ok bool) {
+func (s *MachineSearch) IdleMachine(task *StarvedTask) (found Machine, ok bool) {
 	return s.take(task, func(m Machine) bool { return m.Idle() && !s.neededInShard(m) })
 }
 
 // BusyMachine returns the machine of another shard that can run the task and that will be empty
 // soonest.
-func (s *MachineSearch) BusyMachine(task *OverdueTask) (found Machine, ok bool) {
+func (s *MachineSearch) BusyMachine(task *StarvedTask) (found Machine, ok bool) {
 	return s.take(task, func(m Machine) bool { return m.State == peer.MachineBusy })
 }
 
 // take removes from Machines the machine of another shard that can run the task, satisfies the
 // condition and will be empty soonest, and returns it.
-func (s *MachineSearch) take(task *OverdueTask, condition func(Machine) bool) (best Machine, ok bool) {
+func (s *MachineSearch) take(task *StarvedTask, condition func(Machine) bool) (best Machine, ok bool) {
 	index := -1
 	for i, m := range s.Machines {
-		if m.From == task.Shard || !condition(m) || s.MovedRecently(m.ID) || !s.Catalog.CanRunTask(&task.OverdueTask, m.Kind) {
+		if m.From == task.Shard || !condition(m) || s.MovedRecently(m.ID) || !s.Catalog.CanRunTask(&task.StarvedTask, m.Kind) {
 			continue
 		}
 		if index < 0 || cmp.Or(cmp.Compare(m.RemainingUS, best.RemainingUS), cmp.Compare(m.ID, best.ID)) < 0 {
--- a/internal/controller/fleet/overdue_test.go
+++ b/internal/controller/fleet/starvation_test.go
@@ -8,24 +8,24 @@
 	"garnethitch/internal/wire"
 )
 
-// smallTask returns an overdue task of a quarter of a CPU that has waited for some seconds.
-func smallTask(job string, seconds int64, noMachine bool) peer.OverdueTask {
-	return peer.OverdueTask{Job: job, AnyType: true, Spot: true, CPUs: 0.25, MemGB: 1, WaitedUS: seconds * int64(micros.Second), NoMachine: noMachine}
+// smallTask returns a starved task of a quarter of a CPU that has waited for some seconds.
+func smallTask(job string, seconds int64, noMachine bool) peer.StarvedTask {
+	return peer.StarvedTask{Job: job, AnyType: true, Spot: true, CPUs: 0.25, MemGB: 1, WaitedUS: seconds * int64(micros.Second), NoMachine: noMachine}
 }
 
-// TestOverdueTasks guards against a task that no threshold ever serves: after maxWait the leader
+// TestStarvedTasks guards against a task that no threshold ever serves: after maxWait the leader
 // serves it, and after maxWaitWithoutMachine where the shard has no machine that could run it.
-func TestOverdueTasks(t *testing.T) {
+func TestStarvedTasks(t *testing.T) {
 	demands := Demands{
-		0: {Shard: 0, OverdueTasks: []peer.OverdueTask{smallTask("job-1", 39, false), smallTask("job-2", 41, false), smallTask("job-3", 9, true)}},
-		1: {Shard: 1, OverdueTasks: []peer.OverdueTask{smallTask("job-4", 11, true), smallTask("job-5", 60, false)}},
+		0: {Shard: 0, StarvedTasks: []peer.StarvedTask{smallTask("job-1", 39, false), smallTask("job-2", 41, false), smallTask("job-3", 9, true)}},
+		1: {Shard: 1, StarvedTasks: []peer.StarvedTask{smallTask("job-4", 11, true), smallTask("job-5", 60, false)}},
 	}
 	want := []string{"job-4", "job-5", "job-2"}
-	overdue := demands.OverdueTasks()
-	if len(overdue) != len(want) {
-		t.Fatalf("%d tasks are overdue, want %v", len(overdue), want)
+	starved := demands.StarvedTasks()
+	if len(starved) != len(want) {
+		t.Fatalf("%d tasks are starved, want %v", len(starved), want)
 	}
-	for i, task := range overdue {
+	for i, task := range starved {
 		if task.Job != want[i] {
 			t.Errorf("task %d is of %s, want %s", i, task.Job, want[i])
 		}
@@ -46,11 +46,11 @@
 	own.From = 0
 	ownUnused := unused
 	ownUnused.From = 0
-	excluded := OverdueTask{OverdueTask: smallTask("job-1", 50, true)}
+	excluded := StarvedTask{StarvedTask: smallTask("job-1", 50, true)}
 	excluded.ExcludedZones = []string{"a"}
 	for _, tc := range []struct {
 		name     string
-		task     OverdueTask
+		task     StarvedTask
 		waiting  bool // tasks wait in the machine's shard
 		machines []Machine
 		moved    string
@@ -71,7 +71,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			task := tc.task
 			if task.Job == "" {
-				task.OverdueTask = smallTask("job-1", 50, true)
+				task.StarvedTask = smallTask("job-1", 50, true)
 			}
 			demand := &peer.Demand{Shard: 1}
 			if tc.waiting {
@@ -94,7 +94,7 @@
 	}
 }
 
-// TestRentalForTask guards against an overdue task for which nothing is rented because the fleet is
+// TestRentalForTask guards against a starved task for which nothing is rented because the fleet is
 // large enough as a whole, because it needs less than minDeficit, or because it needs no CPU.
 func TestRentalForTask(t *testing.T) {
 	noCPU := smallTask("job-1", 50, true)
@@ -103,7 +103,7 @@
 	tooLarge.MemGB = 1e6
 	for _, tc := range []struct {
 		name string
-		task peer.OverdueTask
+		task peer.StarvedTask
 		max  int
 		want bool
 	}{
--- a/internal/controller/fleet_plan.go
+++ b/internal/controller/fleet_plan.go
@@ -61,7 +61,7 @@
 	machines, bootingCPUs := c.countFleet()
 	totals := c.sumDemands(demands, bootingCPUs)
 	choice := c.scaleOutChoice(demands, totals, c.cfg.MaxMachines-machines)
-	c.serveOverdueTasks(demands, choice)
+	c.serveStarvedTasks(demands, choice)
 	c.scaleOut(choice)
 	c.rebalance(demands)
 	c.scaleInIdle(demands, totals, machines >= c.cfg.MaxMachines)
--- a/internal/controller/machine_assignment.go
+++ b/internal/controller/machine_assignment.go
@@ -37,7 +37,7 @@
 	capacity, total := c.countCapacity(list)
 	target := fleet.TargetCPUs(demand, total)
 	byShard := map[int][]unassignedMachine{}
-	rest := c.assignToOverdue(list, demand, byShard)
+	rest := c.assignToStarved(list, demand, byShard)
 	c.chooseShards(rest, target, capacity, byShard)
 	for _, s := range c.ownership.shards {
 		for chunk := range slices.Chunk(byShard[s.id], c.recordSetLimit()) {
--- a/internal/controller/rebalancing.go
+++ b/internal/controller/rebalancing.go
@@ -16,8 +16,8 @@
 type plannedMove struct {
 	shard  int
 	retire bool // the machine is returned to the cloud
-	// overdue is set if the machine moves to an overdue task. Its shard does not get it back before.
-	overdue bool
+	// starved is set if the machine moves to a starved task. Its shard does not get it back before.
+	starved bool
 	until   micros.Micros
 }
 
@@ -63,7 +63,7 @@
 	case !planned || c.now >= move.until:
 	case move.retire:
 		c.requestMachineRelease(m.ID, peer.Release{Cordon: true, Drain: true})
-	case choice.NeededInOwnShard(m) && !move.overdue:
+	case choice.NeededInOwnShard(m) && !move.starved:
 		delete(c.fleet.plannedMoves, m.ID)
 	default:
 		choice.AddDraining(m, move.shard)
--- a/internal/controller/scale_in.go
+++ b/internal/controller/scale_in.go
@@ -131,7 +131,7 @@
 func (c *Controller) idleMachines(demands fleet.Demands) []fleet.IdleMachine {
 	catalog := c.catalog()
 	waiting := demands.Waiting()
-	overdue := demands.OverdueTasks()
+	wanted := catalog.WantedKinds(demands.StarvedTasks())
 	var idle []fleet.IdleMachine
 	for _, d := range demands {
 		for _, m := range d.Machines {
@@ -146,9 +146,7 @@
 				CPUPrice: fleet.CPUPrice(mt, rec.rec.Spot),
 				IdleFor:  micros.Micros(m.InStateUS),
 				Unusable: waiting && !catalog.UsefulAnywhere(demands, rec.kind()),
-				Wanted: slices.ContainsFunc(overdue, func(task fleet.OverdueTask) bool {
-					return catalog.CanRunTask(&task.OverdueTask, rec.kind())
-				}),
+				Wanted:   wanted(rec.kind()),
 			})
 		}
 	}
--- a/internal/controller/overdue_service.go
+++ b/internal/controller/starvation.go
@@ -8,14 +8,14 @@
 	"garnethitch/internal/peer"
 )
 
-// This file finds machines for overdue tasks, as the leader. No threshold for the cost of a move or
+// This file finds machines for starved tasks, as the leader. No threshold for the cost of a move or
 // a rental applies to them.
 
 const (
 	// serviceInterval is the time after which another machine is found for a task that has still
 	// not started. A machine that moves is at its new owner long before.
 	serviceInterval = 30 * micros.Second
-	// serviceMoveInterval is the least time between two moves of one machine for overdue tasks, so
+	// serviceMoveInterval is the least time between two moves of one machine for starved tasks, so
 	// that shards in which it is of no use do not pass it to and fro.
 	serviceMoveInterval = micros.Minute
 	// lateBootGrace is how long after its boot time a rented machine is still expected to come up
@@ -26,23 +26,23 @@
 	unusedHeartbeats = 2
 )
 
-// overdueService is what the leader did for overdue tasks.
-type overdueService struct {
+// starvationService is what the leader did for starved tasks.
+type starvationService struct {
 	servedAt   map[string]micros.Micros // when a machine was last found for a task, by job
 	assignedAt map[string]micros.Micros // when a new machine was last assigned to a task, by job
 	movedAt    map[string]micros.Micros // when a machine was last moved for a task, by machine
 }
 
 // reset forgets everything.
-func (o *overdueService) reset() {
-	o.servedAt = map[string]micros.Micros{}
-	o.assignedAt = map[string]micros.Micros{}
-	o.movedAt = map[string]micros.Micros{}
+func (s *starvationService) reset() {
+	s.servedAt = map[string]micros.Micros{}
+	s.assignedAt = map[string]micros.Micros{}
+	s.movedAt = map[string]micros.Micros{}
 }
 
 // forgetBefore removes entries that are older than the given time.
-func (o *overdueService) forgetBefore(at micros.Micros) {
-	for _, times := range []map[string]micros.Micros{o.servedAt, o.assignedAt, o.movedAt} {
+func (s *starvationService) forgetBefore(at micros.Micros) {
+	for _, times := range []map[string]micros.Micros{s.servedAt, s.assignedAt, s.movedAt} {
 		for id, last := range times {
 			if last < at {
 				delete(times, id)
@@ -57,20 +57,20 @@
 	return known && f.now < at+d
 }
 
-// serveOverdueTasks finds a machine for each overdue task: an idle one of another shard, a rented
+// serveStarvedTasks finds a machine for each starved task: an idle one of another shard, a rented
 // one or, if the task's shard has none that could ever run it, one that is drained. choice rents
 // machines.
-func (c *Controller) serveOverdueTasks(demands fleet.Demands, choice *fleet.ScaleOut) {
+func (c *Controller) serveStarvedTasks(demands fleet.Demands, choice *fleet.ScaleOut) {
 	f := &c.fleet
-	f.overdueService.forgetBefore(c.now - serviceMoveInterval)
-	tasks := demands.OverdueTasks()
+	f.starvationService.forgetBefore(c.now - serviceMoveInterval)
+	tasks := demands.StarvedTasks()
 	if len(tasks) == 0 {
 		return
 	}
 	search := fleet.MachineSearch{
 		Catalog:     c.catalog(),
 		Demands:     demands,
-		Machines:    c.machinesForOverdue(demands),
+		Machines:    c.machinesForStarved(demands),
 		UnusedAfter: unusedHeartbeats * c.cfg.HeartbeatInterval,
 		MovedRecently: func(machine string) bool {
 			return f.within(f.movedAt, machine, serviceMoveInterval)
@@ -82,16 +82,16 @@
 		if f.within(f.servedAt, task.Job, serviceInterval) || search.OwnShardServes(task) || takeArriving(task, search.Catalog, &arriving) {
 			continue
 		}
-		if kind, found := c.serveOverdueTask(task, &search, choice); found {
+		if kind, found := c.serveStarvedTask(task, &search, choice); found {
 			c.noteServed(tasks, task.Shard, kind)
 		}
 	}
 }
 
-// takeArriving reports whether a machine is arriving that can run an overdue task. A task that no
-// machine of its shard could run gets it for itself; see assignToOverdue.
-func takeArriving(task *fleet.OverdueTask, catalog fleet.Catalog, arriving *[]fleet.Kind) bool {
-	i := slices.IndexFunc(*arriving, func(kind fleet.Kind) bool { return catalog.CanRunTask(&task.OverdueTask, kind) })
+// takeArriving reports whether a machine is arriving that can run a starved task. A task that no
+// machine of its shard could run gets it for itself; see assignToStarved.
+func takeArriving(task *fleet.StarvedTask, catalog fleet.Catalog, arriving *[]fleet.Kind) bool {
+	i := slices.IndexFunc(*arriving, func(kind fleet.Kind) bool { return catalog.CanRunTask(&task.StarvedTask, kind) })
 	if i < 0 {
 		return false
 	}
@@ -101,27 +101,27 @@
 	return true
 }
 
-// noteServed records that a machine of a kind was found for the overdue tasks of a shard that it can
+// noteServed records that a machine of a kind was found for the starved tasks of a shard that it can
 // run.
-func (c *Controller) noteServed(tasks []fleet.OverdueTask, shard int, kind fleet.Kind) {
+func (c *Controller) noteServed(tasks []fleet.StarvedTask, shard int, kind fleet.Kind) {
 	catalog := c.catalog()
 	for i := range tasks {
-		if tasks[i].Shard == shard && catalog.CanRunTask(&tasks[i].OverdueTask, kind) {
+		if tasks[i].Shard == shard && catalog.CanRunTask(&tasks[i].StarvedTask, kind) {
 			c.fleet.servedAt[tasks[i].Job] = c.now
 		}
 	}
 }
 
-// serveOverdueTask finds a machine for one overdue task, and returns its kind. found is false if
+// serveStarvedTask finds a machine for one starved task, and returns its kind. found is false if
 // there is none now.
-func (c *Controller) serveOverdueTask(task *fleet.OverdueTask, search *fleet.MachineSearch, choice *fleet.ScaleOut) (kind fleet.Kind, found bool) {
+func (c *Controller) serveStarvedTask(task *fleet.StarvedTask, search *fleet.MachineSearch, choice *fleet.ScaleOut) (kind fleet.Kind, found bool) {
 	if m, found := search.IdleMachine(task); found {
-		c.moveForOverdue(task, m, false)
+		c.moveForStarved(task, m, false)
 		return m.Kind, true
 	}
 	if len(c.fleet.scaleOuts) < maxScaleOuts {
-		if rental, ok := choice.RentalForTask(&task.OverdueTask); ok {
-			c.log(Info, "renting a machine for an overdue task", "job", task.Job, "shard", task.Shard, "waited_s", micros.Micros(task.WaitedUS).Seconds())
+		if rental, ok := choice.RentalForTask(&task.StarvedTask); ok {
+			c.log(Info, "renting a machine for a starved task", "job", task.Job, "shard", task.Shard, "waited_s", micros.Micros(task.WaitedUS).Seconds())
 			c.requestScaleOut(choice, rental)
 			return fleet.Kind{Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot}, true
 		}
@@ -131,30 +131,30 @@
 	}
 	m, found := search.BusyMachine(task)
 	if found {
-		c.moveForOverdue(task, m, true)
+		c.moveForStarved(task, m, true)
 	}
 	return m.Kind, found
 }
 
-// moveForOverdue requests the move of a machine to the shard of an overdue task.
-func (c *Controller) moveForOverdue(task *fleet.OverdueTask, m fleet.Machine, drain bool) {
-	c.log(Info, "moving a machine to an overdue task", "job", task.Job, "machine", m.ID, "from", m.From, "to", task.Shard, "drain", drain)
+// moveForStarved requests the move of a machine to the shard of a starved task.
+func (c *Controller) moveForStarved(task *fleet.StarvedTask, m fleet.Machine, drain bool) {
+	c.log(Info, "moving a machine to a starved task", "job", task.Job, "machine", m.ID, "from", m.From, "to", task.Shard, "drain", drain)
 	c.fleet.movedAt[m.ID] = c.now
 	if drain {
-		c.fleet.plannedMoves[m.ID] = plannedMove{shard: task.Shard, until: c.now + maxMoveDuration, overdue: true}
+		c.fleet.plannedMoves[m.ID] = plannedMove{shard: task.Shard, until: c.now + maxMoveDuration, starved: true}
 	}
 	c.requestMachineRelease(m.ID, peer.Release{ToShard: task.Shard, Drain: drain})
 }
 
-// drainingFor reports whether a machine that can run an overdue task is being drained for the task's
+// drainingFor reports whether a machine that can run a starved task is being drained for the task's
 // shard, and extends the time for that.
-func (c *Controller) drainingFor(task *fleet.OverdueTask, catalog fleet.Catalog) bool {
-	for id, move := range c.fleet.plannedMoves {
-		m := c.machines[id]
+func (c *Controller) drainingFor(task *fleet.StarvedTask, catalog fleet.Catalog) bool {
+	for _, id := range sortedKeys(c.fleet.plannedMoves) {
+		m, move := c.machines[id], c.fleet.plannedMoves[id]
 		underWay := m != nil && !move.retire && move.shard == task.Shard && m.rec.Shard != task.Shard && c.now < move.until
-		if underWay && catalog.CanRunTask(&task.OverdueTask, m.kind()) {
+		if underWay && catalog.CanRunTask(&task.StarvedTask, m.kind()) {
 			move.until = c.now + maxMoveDuration
-			move.overdue = true
+			move.starved = true
 			c.fleet.plannedMoves[id] = move
 			return true
 		}
@@ -162,8 +162,8 @@
 	return false
 }
 
-// machinesForOverdue returns the idle and busy machines of all shards that are not being released.
-func (c *Controller) machinesForOverdue(demands fleet.Demands) []fleet.Machine {
+// machinesForStarved returns the idle and busy machines of all shards that are not being released.
+func (c *Controller) machinesForStarved(demands fleet.Demands) []fleet.Machine {
 	f := &c.fleet
 	var machines []fleet.Machine
 	for _, shard := range demands.Shards() {
@@ -181,7 +181,7 @@
 }
 
 // arrivingKinds returns the kinds of machines that are being rented or are booting. Machines that
-// are overdue themselves are left out.
+// are late themselves are left out.
 func (c *Controller) arrivingKinds() []fleet.Kind {
 	f := &c.fleet
 	var kinds []fleet.Kind
@@ -191,12 +191,13 @@
 	for _, req := range f.scaleOuts {
 		kinds = append(kinds, req.kind())
 	}
-	for id, r := range f.rented {
-		if c.machines[id] == nil && expected(r.kind.Type, c.now-r.at) {
+	for _, id := range sortedKeys(f.rented) {
+		if r := f.rented[id]; c.machines[id] == nil && expected(r.kind.Type, c.now-r.at) {
 			kinds = append(kinds, r.kind)
 		}
 	}
-	for id, l := range f.listed {
+	for _, id := range f.listedIDs {
+		l := f.listed[id]
 		age := micros.FromSeconds(l.AgeS) + c.now - f.listedAt
 		if c.unrecorded(id, l) && expected(l.Type, age) {
 			kinds = append(kinds, fleet.Kind{Type: l.Type, Zone: l.Zone, Spot: l.Spot})
@@ -205,16 +206,16 @@
 	return kinds
 }
 
-// assignToOverdue assigns new machines to the shards of overdue tasks that no machine there could
+// assignToStarved assigns new machines to the shards of starved tasks that no machine there could
 // run, and returns the machines that are left.
-func (c *Controller) assignToOverdue(list []unassignedMachine, demands fleet.Demands, byShard map[int][]unassignedMachine) []unassignedMachine {
+func (c *Controller) assignToStarved(list []unassignedMachine, demands fleet.Demands, byShard map[int][]unassignedMachine) []unassignedMachine {
 	f := &c.fleet
 	catalog := c.catalog()
-	for _, task := range demands.OverdueTasks() {
+	for _, task := range demands.StarvedTasks() {
 		if !task.NoMachine || f.within(f.assignedAt, task.Job, serviceInterval) {
 			continue
 		}
-		i := slices.IndexFunc(list, func(m unassignedMachine) bool { return catalog.CanRunTask(&task.OverdueTask, m.kind) })
+		i := slices.IndexFunc(list, func(m unassignedMachine) bool { return catalog.CanRunTask(&task.StarvedTask, m.kind) })
 		if i >= 0 {
 			f.assignedAt[task.Job] = c.now
 			byShard[task.Shard] = append(byShard[task.Shard], list[i])
--- a/internal/controller/waiting_tasks.go
+++ b/internal/controller/waiting_tasks.go
@@ -12,10 +12,10 @@
 // fleet is sized and divided, and one by one where a job has waited for long.
 //
 // The groups serve most tasks, but by sums, with thresholds for the cost of moves and rentals. A
-// task that no sum and no threshold serves becomes overdue, and the leader finds a machine for it;
-// see fleet.OverdueTask. So a waiting task's chance comes back in one of these ways, whatever
+// task that no sum and no threshold serves starves, and the leader finds a machine for it;
+// see fleet.StarvedTask. So a waiting task's chance comes back in one of these ways, whatever
 // refused it before: capacity becomes free in its shard, a refusal of a machine ends (see
-// machine_avoidance.go and healthView), or it becomes overdue and gets a machine that was idle
+// machine_avoidance.go and healthView), or it starves and gets a machine that was idle
 // elsewhere, that is rented, or that is drained for it.
 
 // maxWaitingTaskGroups bounds the groups of waiting tasks in the demand of a shard.
@@ -35,12 +35,12 @@
 	return waitingTasksKey{zone: j.sub.Zone, types: types, spot: j.sub.Spot, cpus: j.sub.CPUs, gpus: j.sub.GPUs, priority: j.priority}
 }
 
-// waitingTasksOf returns a shard's waiting tasks, grouped by their needs, and its overdue tasks.
+// waitingTasksOf returns a shard's waiting tasks, grouped by their needs, and its starved tasks.
 // Tasks beyond the limit or the quota of their team are left out of the counts, since more machines
 // would not let them start. Their run time is included in the work all the same.
-func (c *Controller) waitingTasksOf(s *shard) ([]peer.WaitingTasks, []peer.OverdueTask) {
+func (c *Controller) waitingTasksOf(s *shard) ([]peer.WaitingTasks, []peer.StarvedTask) {
 	groups := waitingTaskGroups{index: map[waitingTasksKey]int{}}
-	overdue := c.newOverdueTasks(s)
+	starved := starvedTasks{c: c, shard: s}
 	headroom := c.teamHeadroom(s)
 	quotas := quotaHeadroom{}
 	for _, j := range c.queue(s) {
@@ -56,9 +56,9 @@
 			c.restartWait(j)
 			continue
 		}
-		overdue.add(j, c.now)
+		starved.add(j)
 	}
-	return groups.list, overdue.list()
+	return groups.list, starved.list()
 }
 
 // waitingTaskGroups collects the groups of a shard's waiting tasks.
--- a/internal/peer/demand.go
+++ b/internal/peer/demand.go
@@ -28,8 +28,8 @@
 	// it would keep busy.
 	ArrivalCPUs float64   `msgpack:"n"`
 	Machines    []Machine `msgpack:"m,omitempty"`
-	// OverdueTasks describes tasks that have waited for long, one of each job.
-	OverdueTasks []OverdueTask `msgpack:"d,omitempty"`
+	// StarvedTasks describes tasks that have waited for long, one of each job.
+	StarvedTasks []StarvedTask `msgpack:"d,omitempty"`
 }
 
 // ZoneMachines counts a shard's machines in one zone, without those that are booting. A machine that
@@ -63,9 +63,9 @@
 // CPUs only.
 func (w *WaitingTasks) Size() float64 { return max(w.CPUs, w.SizeCPUs) }
 
-// OverdueTask is a task that has waited for long although the limits of its team and groups allow
+// StarvedTask is a task that has waited for long although the limits of its team and groups allow
 // it to start. The leader finds a machine for it.
-type OverdueTask struct {
+type StarvedTask struct {
 	Job     string   `msgpack:"j"`
 	Types   []string `msgpack:"t,omitempty"`
 	AnyType bool     `msgpack:"a,omitempty"` // any type will do; Types is ignored
