Fleet: a machine is drained for any starved task where nothing waits beside it

Where the cloud gives nothing, a busy machine was drained only for a task that no machine of its shard could run. It is drained for other starved tasks too if no task waits in its own shard, where that costs nothing.

--- a/internal/controller/fleet/starvation.go
+++ b/internal/controller/fleet/starvation.go
@@ -83,9 +83,11 @@
 }
 
 // BusyMachine returns the machine of another shard that can run the task and that will be empty
-// soonest.
+// soonest. A shard in which tasks wait gives one up only for a task that could otherwise never run.
 func (s *MachineSearch) BusyMachine(task *StarvedTask) (found Machine, ok bool) {
-	return s.take(task, func(m Machine) bool { return m.State == peer.MachineBusy })
+	return s.take(task, func(m Machine) bool {
+		return m.State == peer.MachineBusy && (task.NoMachine || WaitingCPUs(s.Demands[m.From]) == 0)
+	})
 }
 
 // take removes from Machines the machine of another shard that can run the task, satisfies the
--- a/internal/controller/fleet/starvation_test.go
+++ b/internal/controller/fleet/starvation_test.go
@@ -46,6 +46,7 @@
 	own.From = 0
 	ownUnused := unused
 	ownUnused.From = 0
+	withMachine := StarvedTask{StarvedTask: smallTask("job-1", 50, false)}
 	excluded := StarvedTask{StarvedTask: smallTask("job-1", 50, true)}
 	excluded.ExcludedZones = []string{"a"}
 	for _, tc := range []struct {
@@ -66,6 +67,8 @@
 		{name: "in another zone", task: excluded, machines: []Machine{elsewhere}, idle: "vm-1"},
 		{name: "idle in the task's shard", machines: []Machine{own}, own: true},
 		{name: "left unused in the task's shard", machines: []Machine{ownUnused}},
+		{name: "busy, tasks wait there, the task has no other machine", waiting: true, machines: []Machine{machine("vm-2", peer.MachineBusy, 0, 9)}, busy: "vm-2"},
+		{name: "busy, tasks wait there", task: withMachine, waiting: true, machines: []Machine{machine("vm-2", peer.MachineBusy, 0, 9)}},
 		{name: "busy ones", machines: []Machine{machine("vm-2", peer.MachineBusy, 0, 9), machine("vm-3", peer.MachineBusy, 0, 5)}, busy: "vm-3"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/controller/starvation.go
+++ b/internal/controller/starvation.go
@@ -58,8 +58,7 @@
 }
 
 // serveStarvedTasks finds a machine for each starved task: an idle one of another shard, a rented
-// one or, if the task's shard has none that could ever run it, one that is drained. choice rents
-// machines.
+// one, or one that is drained. choice rents machines.
 func (c *Controller) serveStarvedTasks(demands fleet.Demands, choice *fleet.ScaleOut) {
 	f := &c.fleet
 	f.starvationService.forgetBefore(c.now - serviceMoveInterval)
@@ -126,7 +125,7 @@
 			return fleet.Kind{Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot}, true
 		}
 	}
-	if !task.NoMachine || c.drainingFor(task, search.Catalog) {
+	if c.drainingFor(task, search.Catalog) {
 		return kind, false
 	}
 	m, found := search.BusyMachine(task)
