Cancellations: ids of dependents are sorted when they are added, not in each transaction

Cause, as for long pipelines: each transaction that records a few dependents of a cancelled job, and each status message, sorted the ids of all that were left.

Change: the ids stay sorted, ended ones are skipped and dropped once they are the greater part, and a transaction stops looking once it is full. What is written, and in which order, stays.

Evidence: TestWorkOfLongPipelines ("cancellation of all others") and the tests of cascades pass; the first jobs of the list are the same, since a transaction takes a prefix of it.

--- a/internal/controller/cancellation_cascade.go
+++ b/internal/controller/cancellation_cascade.go
@@ -61,6 +61,10 @@
 type cancellationCascade struct {
 	// jobs holds all open jobs with a cancelled dependency, by id, whoever owns them.
 	jobs map[string]*job
+	// ids holds the ids of these jobs, and of some that have ended, in order unless idsUnsorted is
+	// set; see sortedIDs.
+	ids         []string
+	idsUnsorted bool
 	// requested holds the jobs that their owners requested this node to record, with the epoch of
 	// the claim under which each owner did.
 	requested map[string]uint64
@@ -91,13 +95,35 @@
 	clear(cascade.recording)
 }
 
-// add adds a job with a cancelled dependency.
-func (cascade *cancellationCascade) add(j *job) { cascade.jobs[j.id] = j }
+// add adds a job with a cancelled dependency that was not added before.
+func (cascade *cancellationCascade) add(j *job) {
+	cascade.jobs[j.id] = j
+	cascade.ids = append(cascade.ids, j.id)
+	cascade.idsUnsorted = true
+}
+
+// sortedIDs returns the ids of the jobs in order, and ids of jobs that have ended between them. It
+// sorts only after jobs were added, and drops the ended ones once they are the greater part, so that
+// the cost of a transaction does not grow with the jobs that are left.
+func (cascade *cancellationCascade) sortedIDs() []string {
+	if len(cascade.ids) > 2*len(cascade.jobs) {
+		cascade.ids = slices.DeleteFunc(cascade.ids, func(id string) bool { return cascade.jobs[id] == nil })
+	}
+	if cascade.idsUnsorted {
+		slices.Sort(cascade.ids)
+		cascade.ids = slices.Compact(cascade.ids)
+		cascade.idsUnsorted = false
+	}
+	return cascade.ids
+}
 
 // remove removes a job that has ended.
 func (cascade *cancellationCascade) remove(id string) {
 	delete(cascade.jobs, id)
 	delete(cascade.requested, id)
+	if len(cascade.jobs) == 0 {
+		cascade.ids = nil
+	}
 }
 
 // CancellableDependents returns how many dependents of a cancelled job can be recorded within
@@ -133,12 +159,13 @@
 		c.wakeIn(at - c.now)
 		return
 	}
-	jobs := c.dependentsToRecord()
+	limit := min(c.cfg.TxnOps, int(c.stateQueue.WriteRate())/cascadeTxnsPerSecond+1)
+	jobs := c.dependentsToRecord(limit)
 	if len(jobs) == 0 {
 		cascade.nextTxnAt = c.now + activeMaintenanceInterval
 		return
 	}
-	batch := c.nextDependentBatch(jobs)
+	batch := c.nextDependentBatch(jobs, limit)
 	writesPerSecond := c.stateQueue.WriteRate() * dependentsWritesFraction
 	took := micros.FromSeconds(float64(len(batch.jobs)) / writesPerSecond)
 	cascade.nextTxnAt = max(cascade.nextTxnAt, c.now-maxCascadeBurst) + took
@@ -157,21 +184,24 @@
 // dependentsToRecord lists the dependents that this node should record, in order: those of its own
 // that recorderOf assigns to it, those that other owners requested, then the rest of its own. The
 // rest is in reverse order, because the controllers that were requested to record these jobs begin
-// at the other end.
-func (c *Controller) dependentsToRecord() []*job {
+// at the other end. It ends the list once it has limit jobs of the first kind.
+func (c *Controller) dependentsToRecord(limit int) []*job {
 	var own, requested, rest []*job
 	cascade := &c.cascade
-	for _, id := range sortedKeys(cascade.jobs) {
+	for _, id := range cascade.sortedIDs() {
+		c.visited++
 		j := cascade.jobs[id]
 		switch {
-		case cascade.recording[id]:
+		case j == nil || cascade.recording[id]:
 		case !c.OwnsJob(id):
 			if _, ok := cascade.requested[id]; ok && j.run == nil {
 				requested = append(requested, j)
 			}
 		case j.run.end.inFlight() || c.now < j.run.end.nextAttemptAt:
 		case c.recorderOf(id) == c.cfg.Label:
-			own = append(own, j)
+			if own = append(own, j); len(own) >= limit {
+				return own
+			}
 		default:
 			rest = append(rest, j)
 		}
@@ -193,12 +223,10 @@
 	generation int
 }
 
-// nextDependentBatch returns a batch of the first jobs that share a shard and a claim, as many as
-// fit into a transaction.
-func (c *Controller) nextDependentBatch(jobs []*job) *dependentBatch {
+// nextDependentBatch returns a batch of the first jobs that share a shard and a claim, at most limit.
+func (c *Controller) nextDependentBatch(jobs []*job, limit int) *dependentBatch {
 	shard := jobs[0].shard
 	ownerEpoch := c.recordingEpoch(jobs[0])
-	limit := min(c.cfg.TxnOps, int(c.stateQueue.WriteRate())/cascadeTxnsPerSecond+1)
 	n := 1
 	for n < len(jobs) && n < limit && jobs[n].shard == shard && c.recordingEpoch(jobs[n]) == ownerEpoch {
 		n++
@@ -320,8 +348,8 @@
 		return nil
 	}
 	own := 0
-	for _, id := range sortedKeys(c.cascade.jobs) {
-		if !c.OwnsJob(id) {
+	for _, id := range c.cascade.sortedIDs() {
+		if c.cascade.jobs[id] == nil || !c.OwnsJob(id) {
 			continue
 		}
 		own++
