TestClusterGrants: a play goes on until it has set a limit and written ten times

A play ended after 600 grants, within 3 to 5 s.

Change: the play goes on until the test's minimum of grants, writes and limits is reached, or its 25 s are over. What the test demands stays as it was, and a play is as long or longer.

--- a/internal/faulttest/grants.go
+++ b/internal/faulttest/grants.go
@@ -33,6 +33,9 @@
 	Seed      uint64
 	Nodes     int
 	MinGrants int // the run ends after this many
+	// MinWrites and MinLimitsSet are further minimums that must be reached before the run ends.
+	// Controllers that have just started refuse limits, since they do not know the groups yet.
+	MinWrites, MinLimitsSet int
 	// Timeout is how long the run may take.
 	Timeout time.Duration
 	// Faults makes the run restart controllers, cut them off, lose answers and change limits.
@@ -85,11 +88,16 @@
 	return result, nil
 }
 
-// runUntilGranted injects faults until there are enough grants or the timeout has passed, and
-// checks the history.
+// enough reports whether the minimums of the plan are reached.
+func (p GrantsPlan) enough(history []HistoryEvent, limitsSet int) bool {
+	return CountGrants(history) >= p.MinGrants && CountQuotaWrites(history) >= p.MinWrites && limitsSet >= p.MinLimitsSet
+}
+
+// runUntilGranted injects faults until the minimums of the plan are reached or the timeout has
+// passed, and checks the history.
 func (c *Cluster) runUntilGranted(p GrantsPlan) (r GrantsResult) {
 	began := time.Now()
-	for CountGrants(c.History()) < p.MinGrants && time.Since(began) < p.Timeout {
+	for !p.enough(c.History(), r.LimitsSet) && time.Since(began) < p.Timeout {
 		if !p.Faults {
 			c.pause(grantsCheckInterval)
 			continue
--- a/internal/faulttest/grants_test.go
+++ b/internal/faulttest/grants_test.go
@@ -25,7 +25,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			nodes := []int{3, 2, 5}[seed%3]
-			r, err := RunGrants(GrantsPlan{Seed: seed + 1, Nodes: nodes, MinGrants: 600, Timeout: 25 * time.Second, Faults: true})
+			r, err := RunGrants(GrantsPlan{Seed: seed + 1, Nodes: nodes, MinGrants: 600, MinWrites: 10, MinLimitsSet: 1, Timeout: 25 * time.Second, Faults: true})
 			if err != nil {
 				t.Fatal(err)
 			}
