--- a/internal/controller/dependency_reads.go
+++ b/internal/controller/dependency_reads.go
@@ -62,6 +62,9 @@
 
 // requestDependencyReads has the unknown dependencies of a job read that this node owns from now on.
 func (c *Controller) requestDependencyReads(j *job) {
+	if len(c.jobs.unknownDependencies) == 0 {
+		return
+	}
 	for _, id := range j.sub.DependsOn {
 		c.visited++
 		if c.jobs.unknownDependencies[id] == dependencyReadNotNeeded {
