Fleet: rentals for starved tasks come after the ordinary ones, one of a kind at a time

They were requested before the ordinary rentals and several at a time; each refusal doubles the time for which a kind of machine is not requested, for the ordinary rentals too.

Change: the leader first rents what the waiting tasks are worth; what is on its way serves starved tasks too. Only then it rents for them, one machine of a kind at a time. A task without any machine counts the machine that was rented for it as its own, so that the next such task gets another.

--- a/internal/controller/starvation.go
+++ b/internal/controller/starvation.go
@@ -58,7 +58,8 @@
 }
 
 // serveStarvedTasks finds a machine for each starved task: an idle one of another shard, a rented
-// one, or one that is drained. choice rents machines.
+// one, or one that is drained. choice rents machines, after it has rented those that the waiting
+// tasks are worth: where the fleet is short of machines, these serve the starved tasks too.
 func (c *Controller) serveStarvedTasks(demands fleet.Demands, choice *fleet.ScaleOut) {
 	f := &c.fleet
 	f.starvationService.forgetBefore(c.now - serviceMoveInterval)
@@ -78,7 +79,7 @@
 	arriving := c.arrivingKinds()
 	for i := range tasks {
 		task := &tasks[i]
-		if f.within(f.servedAt, task.Job, serviceInterval) || search.OwnShardServes(task) || takeArriving(task, search.Catalog, &arriving) {
+		if search.OwnShardServes(task) || takeArriving(task, search.Catalog, &arriving) || f.within(f.servedAt, task.Job, serviceInterval) {
 			continue
 		}
 		if kind, found := c.serveStarvedTask(task, &search, choice); found {
@@ -118,12 +119,14 @@
 		c.moveForStarved(task, m, false)
 		return m.Kind, true
 	}
-	if len(c.fleet.scaleOuts) < maxScaleOuts {
-		if rental, ok := choice.RentalForTask(&task.StarvedTask); ok {
-			c.log(Info, "renting a machine for a starved task", "job", task.Job, "shard", task.Shard, "waited_s", micros.Micros(task.WaitedUS).Seconds())
-			c.requestScaleOut(choice, rental)
-			return fleet.Kind{Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot}, true
+	if rental, ok := choice.RentalForTask(&task.StarvedTask); ok {
+		kind = fleet.Kind{Type: rental.Type, Zone: rental.Zone, Spot: rental.Spot}
+		if !c.fleet.mayRequest(kind) {
+			return kind, false // the next plan rents it
 		}
+		c.log(Info, "renting a machine for a starved task", "job", task.Job, "shard", task.Shard, "waited_s", micros.Micros(task.WaitedUS).Seconds())
+		c.requestScaleOut(choice, rental)
+		return kind, true
 	}
 	if c.drainingFor(task, search.Catalog) {
 		return kind, false
@@ -135,6 +138,14 @@
 	return m.Kind, found
 }
 
+// mayRequest reports whether a machine of a kind may be requested for a starved task now: not while
+// a request for that kind is under way. Several refusals at once would keep the kind from being
+// requested for long.
+func (f *fleetState) mayRequest(kind fleet.Kind) bool {
+	sameKind := func(req *scaleOutRequest) bool { return req.kind() == kind }
+	return len(f.scaleOuts) < maxScaleOuts && !slices.ContainsFunc(f.scaleOuts, sameKind)
+}
+
 // moveForStarved requests the move of a machine to the shard of a starved task.
 func (c *Controller) moveForStarved(task *fleet.StarvedTask, m fleet.Machine, drain bool) {
 	c.log(Info, "moving a machine to a starved task", "job", task.Job, "machine", m.ID, "from", m.From, "to", task.Shard, "drain", drain)
@@ -188,7 +199,7 @@
 		return age < micros.FromSeconds(c.types.byName[machineType].BootS)+lateBootGrace
 	}
 	for _, req := range f.scaleOuts {
-		kinds = append(kinds, req.kind())
+		kinds = append(kinds, slices.Repeat([]fleet.Kind{req.kind()}, req.rental.Count)...)
 	}
 	for _, id := range sortedKeys(f.rented) {
 		if r := f.rented[id]; c.machines[id] == nil && expected(r.kind.Type, c.now-r.at) {
