review: build-2.sh leaves no sources of the version in production

A test of the project reads all Go files below the repository's folder, target/ included, and failed after build-2.sh. The script now builds in a temporary folder and keeps the program alone.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,8 +15,12 @@
   echo "no history of $production: the case of the upgrade can't run" >&2
   exit 0
 fi
+# The sources stand in a temporary folder: the project's tests read all that lies in the repository's.
+sources=$(mktemp -d)
+trap 'rm -rf "$sources"' EXIT
+git archive "$production" | tar -x -C "$sources"
+cp go.mod go.sum "$sources"
+(cd "$sources" && GOFLAGS="$GOFLAGS -mod=mod" sh -c "$build")
 rm -rf "$out/production"
-mkdir -p "$out/production"
-git archive "$production" | tar -x -C "$out/production"
-cp go.mod go.sum "$out/production"
-(cd "$out/production" && GOFLAGS="$GOFLAGS -mod=mod" sh -c "$build")
+mkdir -p "$out/production/target"
+cp "$sources/target/garnethitch" "$out/production/target/garnethitch"
