Estimates: exponentials and logarithms with the same bits on every processor

On arm64 TestBehaviourIsPreserved failed, one digest of nine. math.Exp has an assembly version for x86-64 and another one for arm64, and the last bits of their results differ (on x86-64 also with and without fused multiply-add); math.Log has one for x86-64 alone. The decay of rates, the correction of run times and the slowness of machines rest on them, so a controller decided differently by its processor.

internal/portablemath computes both by series, with operations of IEEE 754 alone, in a given order, each product converted so that no compiler fuses it.

Behaviour changes in the last bits only.

--- a/internal/controller/estimate/ratemeter.go
+++ b/internal/controller/estimate/ratemeter.go
@@ -1,9 +1,8 @@
 package estimate
 
 import (
-	"math"
-
 	"garnethitch/internal/micros"
+	"garnethitch/internal/portablemath"
 )
 
 // meterTimeConstant is the time constant of the exponential decay of a RateMeter.
@@ -31,7 +30,7 @@
 // decay applies the decay between the last update and now.
 func (r *RateMeter) decay(now micros.Micros) {
 	if now > r.updatedAt {
-		r.level *= math.Exp(-(now - r.updatedAt).Seconds() / meterTimeConstant.Seconds())
+		r.level *= portablemath.Exp(-(now - r.updatedAt).Seconds() / meterTimeConstant.Seconds())
 		r.updatedAt = now
 	}
 }
--- a/internal/controller/estimate/runtimes.go
+++ b/internal/controller/estimate/runtimes.go
@@ -2,9 +2,8 @@
 package estimate
 
 import (
-	"math"
-
 	"garnethitch/internal/micros"
+	"garnethitch/internal/portablemath"
 	"garnethitch/internal/wire"
 )
 
@@ -70,7 +69,7 @@
 		cl = &class{}
 		r.byClass[sub.Class] = cl
 	}
-	cl.add(math.Log(max(runTime.Seconds(), minRunTimeS) / sub.EstimateS))
+	cl.add(portablemath.Log(max(runTime.Seconds(), minRunTimeS) / sub.EstimateS))
 }
 
 // add records the natural logarithm of run time / estimate of one task.
@@ -79,5 +78,5 @@
 	cl.weight = min(cl.weight+weightPerTask, maxWeight)
 	tasks := max(cl.weight*tasksPerWeight, 1)
 	cl.logRatio += (logRatio - cl.logRatio) / tasks
-	cl.factor = math.Exp(cl.logRatio * cl.weight / (cl.weight + priorWeight))
+	cl.factor = portablemath.Exp(cl.logRatio * cl.weight / (cl.weight + priorWeight))
 }
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -1,9 +1,8 @@
 package controller
 
 import (
-	"math"
-
 	"garnethitch/internal/micros"
+	"garnethitch/internal/portablemath"
 	"garnethitch/internal/wire"
 )
 
@@ -258,7 +257,7 @@
 	if expected <= 0 || runTime <= 0 {
 		return
 	}
-	ratio := math.Log(runTime.Seconds() / expected.Seconds())
+	ratio := portablemath.Log(runTime.Seconds() / expected.Seconds())
 	ratio = max(-maxLogRunTimeRatio, min(maxLogRunTimeRatio, ratio))
 	v := m.view
 	v.logRunTimeRatioSum = v.logRunTimeRatioSum*runTimeDecay + ratio
