Arithmetic: products are rounded before they are added, on arm64 as well

Without -d=fmahash=qn four of the nine digests of TestBehaviourIsPreserved differed on arm64: the compiler fuses a product and a sum there, which rounds once instead of twice. A flag of the test command would not reach the deploy build, whose decisions then differ from the tested ones.

The 27 products in the project's code that were fused (found in the assembly of the programs for arm64) are converted explicitly, which the language defines to prevent it. On x86-64 nothing changes. All 129 digests are the recorded ones on x86-64, and on arm64 (emulated in user mode) without any flag.

It failed on write_limit.go:17 with that conversion taken out again.

--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -74,7 +74,7 @@
 	cpus := 0.0
 	for _, j := range c.queue(s) {
 		if j.withinGuarantee && j.run != nil {
-			cpus += float64(j.sub.Tasks-j.run.doneCount) * j.sub.CPUs
+			cpus += float64(float64(j.sub.Tasks-j.run.doneCount) * j.sub.CPUs)
 		}
 	}
 	return cpus
--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -173,7 +173,7 @@
 // recordArrival adds the expected CPU seconds of a job that may start from now on to the arrivals of
 // its shard.
 func (c *Controller) recordArrival(s *shard, j *job) {
-	work := float64(j.sub.Tasks) * j.sub.CPUs * c.estimates.Expect(j.sub).Seconds()
+	work := float64(float64(j.sub.Tasks) * j.sub.CPUs * c.estimates.Expect(j.sub).Seconds())
 	s.arrivals.Add(c.now, work)
 }
 
--- a/internal/controller/fleet/catalog.go
+++ b/internal/controller/fleet/catalog.go
@@ -60,7 +60,7 @@
 
 // CPUs returns the total CPUs of the given number of machines of a type.
 func (c Catalog) CPUs(machineType string, machines int) float64 {
-	return float64(machines) * c.Types[machineType].CPUs
+	return float64(float64(machines) * c.Types[machineType].CPUs)
 }
 
 // CanRun reports whether a group's tasks can run on machines of a kind.
--- a/internal/controller/fleet/consolidation.go
+++ b/internal/controller/fleet/consolidation.go
@@ -35,7 +35,7 @@
 // gain returns the benefit of draining the machine, in CPU seconds: the unused capacity saved
 // minus the weighted work that must be repeated.
 func (m DrainCandidate) gain() float64 {
-	return m.unusedWork() - repeatedWorkWeight*micros.Micros(m.LostWorkUS).Seconds()
+	return m.unusedWork() - float64(repeatedWorkWeight*micros.Micros(m.LostWorkUS).Seconds())
 }
 
 // worthDraining reports whether the machine would otherwise stay mostly unused for a long time.
--- a/internal/controller/fleet/demand.go
+++ b/internal/controller/fleet/demand.go
@@ -40,7 +40,7 @@
 func WaitingCPUs(demand *peer.Demand) float64 {
 	cpus := 0.0
 	for _, group := range demand.WaitingTasks {
-		cpus += float64(group.Count) * group.Size()
+		cpus += float64(float64(group.Count) * group.Size())
 	}
 	return cpus
 }
@@ -50,7 +50,7 @@
 func UnfinishedWork(demand *peer.Demand) float64 {
 	work := micros.Micros(demand.RemainingWorkUS).Seconds()
 	for _, group := range demand.WaitingTasks {
-		work += micros.Micros(group.WorkUS).Seconds() * group.Size()
+		work += float64(micros.Micros(group.WorkUS).Seconds() * group.Size())
 	}
 	return work
 }
@@ -60,10 +60,10 @@
 // now and the capacity that becomes free in the meantime, up to what waiting tasks would use.
 func BlockedWork(demand *peer.Demand) float64 {
 	blocked := micros.Micros(demand.BlockedUS).Seconds()
-	unused := (demand.CPUs - demand.BusyCPUs) * blocked
+	unused := float64((demand.CPUs - demand.BusyCPUs) * blocked)
 	if demand.BusyCPUs > 0 {
 		runLeft := micros.Micros(demand.RemainingWorkUS).Seconds() / demand.BusyCPUs
-		unused += demand.BusyCPUs * max(0, blocked-runLeft)
+		unused += float64(demand.BusyCPUs * max(0, blocked-runLeft))
 	}
 	return min(unused, WaitingCPUs(demand)*blocked)
 }
@@ -71,7 +71,7 @@
 // UnusedWork returns how much of a machine with the given number of CPUs remains unused until its
 // tasks end, in CPU seconds.
 func UnusedWork(machine peer.Machine, cpus float64) float64 {
-	return (cpus - machine.BusyCPUs) * micros.Micros(machine.RemainingUS).Seconds()
+	return float64((cpus - machine.BusyCPUs) * micros.Micros(machine.RemainingUS).Seconds())
 }
 
 // Totals is the sum of what all shards need and have.
--- a/internal/controller/free_capacity_log.go
+++ b/internal/controller/free_capacity_log.go
@@ -105,7 +105,7 @@
 func (c *Controller) sumWaiting(s *shard) waitingCPUs {
 	var sum waitingCPUs
 	for _, j := range c.queue(s) {
-		cpus := float64(j.pending()) * j.sub.CPUs
+		cpus := float64(float64(j.pending()) * j.sub.CPUs)
 		if !c.runnable(s, j) {
 			sum.blocked += cpus
 		} else if _, exceeded := c.quota.exceededGroup(s, j); exceeded {
--- a/internal/controller/job_queue.go
+++ b/internal/controller/job_queue.go
@@ -124,8 +124,8 @@
 		if j.team != team {
 			team, exceeded, sum = j.team, false, usage{}
 		}
-		sum.cpus += float64(j.sub.Tasks) * j.sub.CPUs
-		sum.gpus += float64(j.sub.Tasks) * j.sub.GPUs
+		sum.cpus += float64(float64(j.sub.Tasks) * j.sub.CPUs)
+		sum.gpus += float64(float64(j.sub.Tasks) * j.sub.GPUs)
 		exceeded = exceeded || exceedsGuarantee(sum, c.cfg.Teams[team])
 		j.withinGuarantee = !exceeded
 	}
--- a/internal/controller/machine_health.go
+++ b/internal/controller/machine_health.go
@@ -260,8 +260,8 @@
 	ratio := portablemath.Log(runTime.Seconds() / expected.Seconds())
 	ratio = max(-maxLogRunTimeRatio, min(maxLogRunTimeRatio, ratio))
 	v := m.view
-	v.logRunTimeRatioSum = v.logRunTimeRatioSum*runTimeDecay + ratio
-	v.runTimeWeight = v.runTimeWeight*runTimeDecay + 1
+	v.logRunTimeRatioSum = float64(v.logRunTimeRatioSum*runTimeDecay) + ratio
+	v.runTimeWeight = float64(v.runTimeWeight*runTimeDecay) + 1
 }
 
 // slowness returns the mean logarithm of the ratio of run time to expected run time on a machine,
--- a/internal/controller/ownership/sharding.go
+++ b/internal/controller/ownership/sharding.go
@@ -17,7 +17,7 @@
 }
 
 // weight returns the size of the team's guarantee in CPUs, with GPUs converted by gpuWeight.
-func (t Team) weight() float64 { return t.CPUs + gpuWeight*t.GPUs }
+func (t Team) weight() float64 { return t.CPUs + float64(gpuWeight*t.GPUs) }
 
 // AssignTeamsToShards returns the shard of each team. It returns nil if there is a single team
 // without a limit; jobs are then assigned to shards one by one. Teams are assigned in decreasing
--- a/internal/controller/ratelimit/bucket.go
+++ b/internal/controller/ratelimit/bucket.go
@@ -28,7 +28,7 @@
 	if now <= b.refilledAt {
 		return
 	}
-	b.tokens = min(b.burst, b.tokens+b.rate*(now-b.refilledAt).Seconds())
+	b.tokens = min(b.burst, b.tokens+float64(b.rate*(now-b.refilledAt).Seconds()))
 	b.refilledAt = now
 }
 
--- a/internal/controller/replacement.go
+++ b/internal/controller/replacement.go
@@ -121,7 +121,7 @@
 	cost := 0.0 // CPU seconds
 	for _, id := range unreconciled {
 		mt := c.types.of(c.machines[id])
-		cost += mt.CPUs * (mt.BootS + rentalOverheadS)
+		cost += float64(mt.CPUs * (mt.BootS + rentalOverheadS))
 	}
 	blocked := fleet.BlockedWork(demand)
 	if blocked <= cost {
--- a/internal/controller/scheduling/preemption.go
+++ b/internal/controller/scheduling/preemption.go
@@ -94,6 +94,8 @@
 	if l.OnlyRunningTask {
 		stops += onlyRunningTaskPreemptions
 	}
-	userCost := float64(l.Priority) * (preemptionCostPerPriority + waitCostPerSecond*l.ExpectedRunTime.Seconds())
-	return lostSeconds*l.CPUs*workWeights[l.Priority] + userCost + earlierPreemptionCost*stops
+	waitCost := float64(waitCostPerSecond * l.ExpectedRunTime.Seconds())
+	userCost := float64(float64(l.Priority) * (preemptionCostPerPriority + waitCost))
+	lostWorkCost := float64(lostSeconds * l.CPUs * workWeights[l.Priority])
+	return lostWorkCost + userCost + float64(earlierPreemptionCost*stops)
 }
--- a/internal/controller/scheduling/score.go
+++ b/internal/controller/scheduling/score.go
@@ -61,7 +61,7 @@
 	if c.FailedAnyJob {
 		score -= failedAnyJobPenalty
 	}
-	score -= slownessPenalty * c.Slowness
+	score -= float64(slownessPenalty * c.Slowness)
 	if c.CPUs > 0 {
 		score += 1 - c.FreeCPUs/c.CPUs
 	}
--- a/internal/controller/waiting_tasks.go
+++ b/internal/controller/waiting_tasks.go
@@ -83,7 +83,7 @@
 	}
 	group := &g.list[i]
 	if count > 0 {
-		sum := group.SizeCPUs*float64(group.Count) + size*float64(count)
+		sum := float64(group.SizeCPUs*float64(group.Count)) + float64(size*float64(count))
 		group.Count += count
 		group.SizeCPUs = sum / float64(group.Count)
 	}
@@ -146,6 +146,6 @@
 	if fit := h[j.team] / j.sub.CPUs; fit < float64(count) {
 		count = max(int(fit), 0)
 	}
-	h[j.team] -= float64(count) * j.sub.CPUs
+	h[j.team] -= float64(float64(count) * j.sub.CPUs)
 	return count
 }
--- a/internal/fakes/write_limit.go
+++ b/internal/fakes/write_limit.go
@@ -14,7 +14,7 @@
 // take reports whether the given number of writes is within the limit now, and consumes their
 // tokens if so.
 func (l *writeLimit) take(now micros.Micros, writes int) bool {
-	l.tokens = min(l.rate, l.tokens+l.rate*(now-l.updatedAt).Seconds())
+	l.tokens = min(l.rate, l.tokens+float64(l.rate*(now-l.updatedAt).Seconds()))
 	l.updatedAt = now
 	if l.tokens < float64(writes) {
 		return false
--- a/internal/faulttest/soak_faults.go
+++ b/internal/faulttest/soak_faults.go
@@ -102,7 +102,7 @@
 func (g *faultGenerator) add(at time.Duration, kind FaultKind, duration time.Duration) {
 	node := g.rng.IntN(g.nodes)
 	other := (node + 1 + g.rng.IntN(g.nodes-1)) % g.nodes
-	fraction := 0.1 + 0.4*g.rng.Float64()
+	fraction := 0.1 + float64(0.4*g.rng.Float64())
 	g.faults = append(g.faults, Fault{At: at, Duration: duration, Kind: kind, Node: node, Other: other, Fraction: fraction})
 }
 
--- a/quota/amount.go
+++ b/quota/amount.go
@@ -33,7 +33,9 @@
 func (a Amount) Max(b Amount) Amount { return Amount{max(a.CPUs, b.CPUs), max(a.GPUs, b.GPUs)} }
 
 // Times returns what n tasks of size a use.
-func (a Amount) Times(n int) Amount { return Amount{a.CPUs * float64(n), a.GPUs * float64(n)} }
+func (a Amount) Times(n int) Amount {
+	return Amount{float64(a.CPUs * float64(n)), float64(a.GPUs * float64(n))}
+}
 
 // CountFitting returns how many tasks of size a fit into the available amount, at most
 // math.MaxInt32.
--- a/quota/divide.go
+++ b/quota/divide.go
@@ -153,7 +153,7 @@
 		}
 		used := min(c.used, shares[i])
 		tasks := math.Floor((shares[i] - used + epsilon) / c.smallestTask)
-		shares[i] = used + tasks*c.smallestTask
+		shares[i] = used + float64(tasks*c.smallestTask)
 		order = append(order, i)
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
