An unknown field is not taken for a known one of another case

With a value of another type the message was refused, for a worker at every controller.

Cause: the CBOR decoder's default takes a name that matches no field for one that it matches in any case, and of two the first counts. This held for every field of every message and record in CBOR.

The body of the cloud's refusal is among the golden messages now.

--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -63,6 +63,7 @@
 		goldenSampleOf[wire.DirectCommand]("worker commands", cborCodec),
 		goldenSampleOf[wire.MachineTypes]("machine types", cborCodec),
 		goldenSampleOf[wire.RentalRequest]("machine request", cborCodec),
+		goldenSampleOf[wire.Refusal]("refusal", cborCodec),
 		goldenSampleOf[wire.MachineNames]("machine names", cborCodec),
 		goldenSampleOf[wire.MachineList]("machine list", cborCodec),
 		goldenSampleOf[wire.KeyValue]("key and value", cborCodec),
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -49,13 +49,17 @@
 	return mode
 }
 
+// newDecMode returns the decoder. Names of fields match exactly: a name that differs in case is
+// that of an unknown field, which receivers must ignore (protocol: the introduction). By default
+// the library would take it for the known one.
 func newDecMode() cbor.DecMode {
 	options := cbor.DecOptions{
-		MaxNestedLevels:  maxNesting,
-		MaxArrayElements: maxArrayElements,
-		MaxMapPairs:      maxMapPairs,
-		IndefLength:      cbor.IndefLengthAllowed,
-		DefaultMapType:   reflect.TypeFor[map[string]any](),
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
+		MaxNestedLevels:   maxNesting,
+		MaxArrayElements:  maxArrayElements,
+		MaxMapPairs:       maxMapPairs,
+		IndefLength:       cbor.IndefLengthAllowed,
+		DefaultMapType:    reflect.TypeFor[map[string]any](),
 	}
 	mode, err := options.DecMode()
 	if err != nil {
