An unknown setting is not taken for a known one of another case

The TOML library matches names in any case, and has no option against it: a new field or table that differs from a known one in case only was taken for it, the last of two counted, and a value of another type, or out of range, ended every controller at its start. A date made the library panic.

The file is decoded without types first; what is unknown by exact name is taken out before the fields of Settings are filled. A date or time in a known field is an error that names the field. Errors about a value name the field, no longer its line.

An option (YAML) of another case was an unknown key before; a row of TestOptions says so.

--- a/internal/config/options_test.go
+++ b/internal/config/options_test.go
@@ -14,6 +14,7 @@
 		{"empty", "", ""},
 		{"some", "lease_ms: 4000\nmax_machines: 50\n", ""},
 		{"an unknown key", "lease_ms: 4000\nunknown: 1\n", "unknown = "},
+		{"a key of another case", "Lease_Ms: 4000\n", "Lease_Ms = "},
 		{"long lease", "lease_ms: 700000", "lease_ms = 700000"},
 		{"no time to drain", "drain_horizon_s: 0", "drain_horizon_s = 0"},
 		{"infinite", "quarantine_s: .inf", "options.yaml"},
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -38,10 +38,7 @@
 
 func unknownKeyInMap(path string, values map[string]any, structType reflect.Type) string {
 	for _, key := range slices.Sorted(maps.Keys(values)) {
-		keyPath := key
-		if path != "" {
-			keyPath = path + "." + key
-		}
+		keyPath := joinPath(path, key)
 		fieldType, ok := yamlFieldType(structType, key)
 		if !ok {
 			return keyPath
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -1,13 +1,5 @@
 package config
 
-import (
-	"errors"
-	"fmt"
-	"strings"
-
-	"github.com/pelletier/go-toml/v2"
-)
-
 // Settings is the content of the settings file that the platform gives to a controller.
 type Settings struct {
 	Label        string    `toml:"label"` // unique name of this controller
@@ -139,35 +131,8 @@
 // in errors. An invalid value of the right type is reported as a *FieldError.
 func ParseSettings(name string, text []byte) (Settings, error) {
 	var s Settings
-	err := toml.Unmarshal(text, &s)
-	var decodeErr *toml.DecodeError
-	if errors.As(err, &decodeErr) {
-		row, _ := decodeErr.Position()
-		return s, fmt.Errorf("%s: line %d: %s: %w", name, row, tomlField(string(text), row), err)
-	}
-	if err != nil {
-		return s, fmt.Errorf("%s: %w", name, err)
+	if err := decodeSettings(name, text, &s); err != nil {
+		return s, err
 	}
 	return s, s.check(name)
 }
-
-// tomlField returns "table.key = value" for the field on the given line, counted from 1, or
-// "syntax" if the line holds no field.
-func tomlField(text string, row int) string {
-	const notAField = "syntax"
-	lines := strings.Split(text, "\n")
-	if row < 1 || row > len(lines) {
-		return notAField
-	}
-	key, value, ok := strings.Cut(lines[row-1], "=")
-	if !ok {
-		return notAField
-	}
-	table := ""
-	for _, line := range lines[:row-1] {
-		if line = strings.TrimSpace(line); strings.HasPrefix(line, "[") {
-			table = strings.Trim(line, "[] ") + "."
-		}
-	}
-	return table + strings.TrimSpace(key) + " = " + strings.TrimSpace(value)
-}
