A message is not refused for an unknown field that is nested 16 deep

Receivers must ignore unknown fields. The decoder's bound of 16 levels holds for their values as well, so that a submission, a heartbeat or an answer with a deeper one was refused.

An accepted job's body was within the bound, and its repeats are that body.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -52,8 +52,8 @@
 	return b, nil
 }
 
-// Decode decodes a message into v. It returns an error if the message is malformed, and never
-// panics.
+// Decode decodes a message into v. Fields that v does not have are ignored; of several fields of one
+// name the last counts. It returns an error if the message is malformed, and never panics.
 func Decode(b []byte, v any) error {
 	d := msgpack.NewDecoder(bytes.NewReader(b))
 	if err := d.Decode(v); err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -47,3 +47,26 @@
 		}
 	}
 }
+
+// TestRepeatedName checks that the last of several fields of one name counts, also if it is null.
+func TestRepeatedName(t *testing.T) {
+	const mapHeadOf2 = 0x82
+	for _, tc := range []struct {
+		name string
+		last any
+		want string
+	}{{"text", "b", "b"}, {"null", nil, ""}} {
+		body := []byte{mapHeadOf2}
+		for _, value := range []any{"f", "a", "f", tc.last} {
+			encoded, err := Encode(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body = append(body, encoded...)
+		}
+		var got Request
+		if err := Decode(body, &got); err != nil || got.From != tc.want {
+			t.Errorf("%s: from %q, error %v, want %q", tc.name, got.From, err, tc.want)
+		}
+	}
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -16,9 +16,12 @@
 // Raw is an encoded value that is decoded later, once its type is known.
 type Raw = cbor.RawMessage
 
-// Limits of the decoder.
+// Limits of the decoder. They hold for the values of unknown fields as well. A request's body is
+// shorter than the longest array or map.
 const (
-	maxNesting       = 16
+	// maxNesting is the number of arrays and maps that may be inside one another. The decoder's
+	// stack grows by about 256 bytes with each.
+	maxNesting       = 1024
 	maxArrayElements = 131072 // more than MaxTasks
 	maxMapPairs      = 65536
 )
@@ -77,7 +80,10 @@
 	return b, nil
 }
 
-// Decode decodes a CBOR body into v. Bytes after the first CBOR value are an error.
+// Decode decodes a CBOR body into v. Fields that v does not have are ignored, whatever their value;
+// of several fields of one name the first counts. A map with a key that is neither text nor a
+// number is an error, and so are bytes after the first CBOR value. After an error in a key or in
+// the type of a value v holds the other fields.
 func Decode(b []byte, v any) error {
 	if err := decMode.Unmarshal(b, v); err != nil {
 		return fmt.Errorf("wire: decode %T: %w", v, err)
