A malformed repeat of an accepted job finds the job beside any key

The repeated submission of an accepted job got 400 if it had a key that is neither text nor a number: the id of a malformed submission was used only if nothing else failed to decode. The decoder goes on after such a key and fills the other fields, so the id is used whenever it was found, and the job is looked up before the refusal.

TestKeyThatIsNoText failed before for six kinds of keys. It also states what keys mean: a number is ignored, any other key that is no text makes the message malformed.

--- a/internal/wire/decode_test.go
+++ b/internal/wire/decode_test.go
@@ -75,6 +75,35 @@
 	}
 }
 
+// TestKeyThatIsNoText checks that a number as a key is ignored, and that a map with any other key
+// that is not text is malformed: the protocol has text keys only. The error still names the job,
+// because an accepted one must not be refused.
+func TestKeyThatIsNoText(t *testing.T) {
+	value := encoded(t, "value")
+	for _, tc := range []struct {
+		name string
+		key  []byte
+		ok   bool
+	}{
+		{"a number", []byte{0x01}, true},
+		{"a negative number", []byte{0x20}, true},
+		{"binary", []byte{0x41, 'k'}, false},
+		{"binary, with the name of a field", append([]byte{0x47}, "paddock"...), false},
+		{"a list", []byte{0x80}, false},
+		{"a flag", []byte{0xf5}, false},
+		{"null", []byte{0xf6}, false},
+		{"text that is not UTF-8", []byte{0x61, 0xff}, false},
+	} {
+		got, err := ParseSubmission(withFirstField(t, tc.key, value))
+		if (err == nil) != tc.ok || got.Zone != "" {
+			t.Errorf("%s: zone %q, error %v, want no zone, and an error: %v", tc.name, got.Zone, err, !tc.ok)
+		}
+		if err != nil && err.ID != "job-000412" {
+			t.Errorf("%s: the error names the job %q, want job-000412", tc.name, err.ID)
+		}
+	}
+}
+
 // TestRepeatedName checks that the first of several fields of one name counts, also if it is null.
 func TestRepeatedName(t *testing.T) {
 	name := encoded(t, "label")
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -134,7 +134,7 @@
 	var only struct {
 		ID any `cbor:"nameId"`
 	}
-	if Decode(body, &only) != nil {
+	if err := Decode(body, &only); err != nil && only.ID == nil {
 		return ""
 	}
 	if id, ok := only.ID.(string); ok && ValidID(id) {
