Fakes, soak and simulation: unknown fields of another case in what is sent

Now fakes.Encode puts a field of another case, with another value of the same type, before each field of all that users, workers, the cloud and the state service send over HTTP in the soak and the test clusters, records in the state service's answers included. The simulation does so in every fourth heartbeat and message between controllers.

With the fix TestSoak and the simulation hold.

--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -153,7 +153,7 @@
 func WriteAnswer(rw http.ResponseWriter, status int, answer any) {
 	var body []byte
 	if answer != nil {
-		encoded, err := wire.Encode(answer)
+		encoded, err := Encode(answer)
 		if err != nil {
 			status = http.StatusInternalServerError
 		}
--- a/internal/fakes/world.go
+++ b/internal/fakes/world.go
@@ -207,7 +207,7 @@
 		pause    = 20 * time.Millisecond
 	)
 	h.submittedJobs++
-	body, err := wire.Encode(wire.Submission{
+	body, err := Encode(wire.Submission{
 		ID: h.lastJob(), Class: "c", Team: "t", Kind: "sweep", Priority: "standard",
 		Tasks: tasks, CPUs: 1, MemGB: 1, Image: "i", ImageGB: 1, Spot: true, EstimateS: 600,
 	})
--- a/internal/faulttest/cluster.go
+++ b/internal/faulttest/cluster.go
@@ -284,7 +284,7 @@
 		pause    = 50 * time.Millisecond
 	)
 	id := c.nextJob()
-	body, err := wire.Encode(c.submission(id, tasks, 1))
+	body, err := fakes.Encode(c.submission(id, tasks, 1))
 	if err != nil {
 		return fmt.Errorf("test cluster: %w", err)
 	}
--- a/internal/faulttest/machine.go
+++ b/internal/faulttest/machine.go
@@ -156,7 +156,7 @@
 
 // sendHeartbeat sends a heartbeat and executes the commands of the reply.
 func (m *machine) sendHeartbeat(heartbeat wire.Heartbeat, sentAt time.Time) {
-	body, err := wire.Encode(heartbeat)
+	body, err := fakes.Encode(heartbeat)
 	if err != nil {
 		return
 	}
--- a/internal/faulttest/soak_users.go
+++ b/internal/faulttest/soak_users.go
@@ -162,7 +162,7 @@
 	if j.dependsOn != nil {
 		submission.DependsOn = []string{j.dependsOn.id}
 	}
-	body, err := wire.Encode(submission)
+	body, err := fakes.Encode(submission)
 	if err != nil {
 		s.addViolation("submission: %v", err)
 		return false
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -3,7 +3,6 @@
 import (
 	"garnethitch/internal/controller"
 	"garnethitch/internal/micros"
-	"garnethitch/internal/peer"
 )
 
 const (
@@ -148,11 +147,7 @@
 // servePeer gives the controller a request of another controller after encoding and decoding it as
 // for the network.
 func (n *node) servePeer(sent any, reply func(controller.Result)) {
-	var received peer.Request
-	encoded, err := peer.Encode(sent)
-	if err == nil {
-		err = peer.Decode(encoded, &received)
-	}
+	received, err := n.receivedRequest(sent)
 	if err != nil {
 		n.sim.violated("peer message: %v", err)
 		return
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -39,6 +39,8 @@
 	wakeAt          micros.Micros // on the monotonic clock
 	recentCalls     []controller.Call
 	heartbeatReader *wire.HeartbeatReader // decodes heartbeats as a real controller does
+	// receivedMessages counts the heartbeats and requests of other controllers that were received.
+	receivedMessages int
 
 	// stepTime is how long a step takes at present. backlog holds the inputs of slow steps; the
 	// first one is in progress if stepInProgress.
@@ -217,12 +219,7 @@
 	if n.controller == nil {
 		return
 	}
-	body, err := wire.Encode(sent)
-	if err != nil {
-		n.sim.violated("heartbeat: %v", err)
-		return
-	}
-	received, err := n.heartbeatReader.Parse(body)
+	received, err := n.receivedHeartbeat(sent)
 	if err != nil {
 		n.sim.violated("heartbeat: %v", err)
 		return
--- a/internal/unknownfields/add.go
+++ b/internal/unknownfields/add.go
@@ -81,26 +81,29 @@
 	return slices.ContainsFunc(fields, func(f field) bool { return f.key == name })
 }
 
-// otherValue returns another value of the same type as a value.
+// otherValue returns a value of the same type as an encoded one. It is one that no message has.
 func (e Encoding) otherValue(encoded []byte) ([]byte, error) {
-	var value any
-	if err := e.decodeRaw(encoded, &value); err != nil {
-		return nil, err
-	}
-	switch v := value.(type) {
-	case string:
-		return e.encode(v + "-unknown")
-	case bool:
-		return e.encode(!v)
-	case []any:
-		return e.encode([]any{})
-	case nil:
+	switch e.kindOf(encoded[0]) {
+	case integerKind:
+		return e.encode(1_000_003)
+	case floatKind:
+		return e.encode(1_000_003.25)
+	case textKind:
 		return e.encode("unknown")
-	case float32, float64:
-		return e.encode(0.25)
+	case flagKind:
+		return e.otherFlag(encoded)
+	case listKind:
+		return e.encode([]string{})
+	case mapKind:
+		return e.encode(map[string]string{})
 	}
-	if e.kindOf(encoded[0]) == mapKind {
-		return e.encode(map[string]any{})
+	return e.encode("unknown")
+}
+
+func (e Encoding) otherFlag(encoded []byte) ([]byte, error) {
+	var flag bool
+	if err := e.decodeRaw(encoded, &flag); err != nil {
+		return nil, err
 	}
-	return e.encode(1_000_003)
+	return e.encode(!flag)
 }
--- a/internal/unknownfields/encoding.go
+++ b/internal/unknownfields/encoding.go
@@ -19,6 +19,8 @@
 	decode func(encoded []byte, v any) error
 	// mapHead and listHead are the bytes before the two bytes with the number of elements.
 	mapHead, listHead byte
+	// null is the encoded form of null.
+	null byte
 	// kindOf returns the kind of a value by its first byte.
 	kindOf func(first byte) kind
 }
@@ -31,6 +33,7 @@
 		decode:   cbor.Unmarshal,
 		mapHead:  0xb9,
 		listHead: 0x99,
+		null:     0xf6,
 		kindOf:   kindOfCBOR,
 	}
 	MessagePack = Encoding{
@@ -39,6 +42,7 @@
 		decode:   msgpack.Unmarshal,
 		mapHead:  0xde,
 		listHead: 0xdc,
+		null:     0xc0,
 		kindOf:   kindOfMessagePack,
 	}
 )
@@ -48,27 +52,51 @@
 
 const (
 	otherKind kind = iota
-	mapKind
+	integerKind
+	floatKind
+	textKind
+	flagKind
 	listKind
+	mapKind
 )
 
+// kindOfCBOR returns the kind of a value by its first byte (RFC 8949, 3.1 and 3.3).
 func kindOfCBOR(first byte) kind {
 	const majorTypeBits = 5
 	switch first >> majorTypeBits {
+	case 0, 1:
+		return integerKind
+	case 3:
+		return textKind
 	case 4:
 		return listKind
 	case 5:
 		return mapKind
 	}
+	switch first {
+	case 0xf4, 0xf5:
+		return flagKind
+	case 0xf9, 0xfa, 0xfb:
+		return floatKind
+	}
 	return otherKind
 }
 
+// kindOfMessagePack returns the kind of a value by its first byte.
 func kindOfMessagePack(first byte) kind {
 	switch {
+	case first <= 0x7f, first >= 0xe0, first >= 0xcc && first <= 0xd3:
+		return integerKind
 	case first >= 0x80 && first <= 0x8f, first == 0xde, first == 0xdf:
 		return mapKind
 	case first >= 0x90 && first <= 0x9f, first == 0xdc, first == 0xdd:
 		return listKind
+	case first >= 0xa0 && first <= 0xbf, first >= 0xd9 && first <= 0xdb:
+		return textKind
+	case first == 0xc2, first == 0xc3:
+		return flagKind
+	case first == 0xca, first == 0xcb:
+		return floatKind
 	}
 	return otherKind
 }
@@ -87,7 +115,7 @@
 	}
 	var fields []field
 	for _, key := range slices.Sorted(maps.Keys(byKey)) {
-		fields = append(fields, field{key, byKey[key]})
+		fields = append(fields, field{key, byKey[key].orNull(e)})
 	}
 	return fields, nil
 }
@@ -95,8 +123,13 @@
 // elementsOf returns the elements of an encoded list.
 func (e Encoding) elementsOf(encoded []byte) ([]rawValue, error) {
 	var elements []rawValue
-	err := e.decodeRaw(encoded, &elements)
-	return elements, err
+	if err := e.decodeRaw(encoded, &elements); err != nil {
+		return nil, err
+	}
+	for i := range elements {
+		elements[i] = elements[i].orNull(e)
+	}
+	return elements, nil
 }
 
 func (e Encoding) decodeRaw(encoded []byte, v any) error {
@@ -132,6 +165,15 @@
 // rawValue is a value in encoded form.
 type rawValue []byte
 
+// orNull returns the value, or null for an empty one: the MessagePack library does not hand null to
+// a decoder of the application's own.
+func (r rawValue) orNull(e Encoding) rawValue {
+	if len(r) == 0 {
+		return rawValue{e.null}
+	}
+	return r
+}
+
 // UnmarshalCBOR keeps the encoded form.
 func (r *rawValue) UnmarshalCBOR(encoded []byte) error {
 	*r = slices.Clone(encoded)
