--- a/internal/controller/dependencies_test.go
+++ b/internal/controller/dependencies_test.go
@@ -341,7 +341,7 @@
 			h.recordEnd("job-000100", wire.StateCancelled, 0)
 			for i := 1; i < n; i++ {
 				if a := h.submit(dependentSubmission(chainID(i), 1, chainID(i-1))); a.Status != 201 {
-					t.Fatalf("the submission of a dependent of a cancelled job is answered %d, want 201", a.Status)
+					h.t.Fatalf("the submission of a dependent of a cancelled job is answered %d, want 201", a.Status)
 				}
 			}
 		}},
@@ -372,7 +372,7 @@
 			h.run(sec)
 			for i := 1; i < n; i++ {
 				if s := h.jobState(chainID(i)); s != "" && s != wire.StateCancelled {
-					t.Errorf("a dependent of a cancelled job is in state %q, want cancelled or no answer", s)
+					h.t.Errorf("a dependent of a cancelled job is in state %q, want cancelled or no answer", s)
 				}
 			}
 			h.run(8 * sec)
@@ -381,13 +381,13 @@
 		{"the owner changes", func(h *harness) {
 			h.recordChain(n)
 			h.delayPrefix = wire.PrefixJob
-			h.applyTxn(wire.Txn{Changes: []wire.Change{{Put: wire.JobKey("job-000100"), Value: encoded(t, wire.JobRecord{State: wire.StateCancelled, Tasks: 1})}}})
+			h.applyTxn(wire.Txn{Changes: []wire.Change{{Put: wire.JobKey("job-000100"), Value: encoded(h.t, wire.JobRecord{State: wire.StateCancelled, Tasks: 1})}}})
 			h.run(sec)
 			h.delayPrefix = ""
 			h.applyTxn(wire.Txn{Changes: []wire.Change{{Delete: ownerKey(0)}}})
 			h.run(2 * sec)
 			if applied := h.applyDelayedTxns(); applied != 0 {
-				t.Errorf("%d writes of the former owner were applied, want none", applied)
+				h.t.Errorf("%d writes of the former owner were applied, want none", applied)
 			}
 		}},
 	} {
--- a/internal/controller/job_end_test.go
+++ b/internal/controller/job_end_test.go
@@ -41,9 +41,8 @@
 			func(h *harness) { h.stateDown, h.stateRefuses = true, true }},
 		{"cancelled after the lease has ended", func(h *harness) {
 			h.stateDown = true
-			for seq := uint64(100); h.now < h.c.ownership.lease.RenewedAt()+h.c.bounds.LeaseValidity+sec/2; seq++ {
-				h.run(100 * ms)
-			}
+			end := h.c.ownership.lease.RenewedAt() + h.c.bounds.LeaseValidity
+			h.run(end + sec/2 - h.now)
 		}, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
