Tests: unknown settings of another case beside every field of the settings file

The file of TestUnknownSettingsOfAnotherCase had no objectives, no limits of GPUs and only one of the planned limits, so that these fields had no case. It has all now, and the test fails if a field of Settings has no line in it (shown with gpus_max taken out).

--- a/internal/config/unknown_settings_test.go
+++ b/internal/config/unknown_settings_test.go
@@ -11,23 +11,59 @@
 // does not know.
 var otherSettingValues = []string{`"127.0.0.9:9"`, `["c"]`, `7`, `0.5`, `true`, `{a = 1}`, `[{name = "x"}]`, `2026-12-07`}
 
+// allSettings is a valid settings file with every field that a controller knows.
+var allSettings = strings.NewReplacer(
+	"cpus_max = 2.0\n", `cpus_max = 2.0
+gpus = 1.0
+gpus_max = 3.0
+[[cluster.objectives]]
+kind = "finished"
+class = "c"
+within_s = 90.0
+share = 0.8
+`,
+	"txn_ops = 8\n", `txn_ops = 8
+[cluster.state.next]
+rps = 100.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 6
+`).Replace(settings)
+
+// valueKeys returns the keys of the fields of a struct, and of those in it, that are not tables.
+func valueKeys(structType reflect.Type) (keys []string) {
+	for i := range structType.NumField() {
+		field := structType.Field(i)
+		element := field.Type
+		for element.Kind() == reflect.Pointer || element.Kind() == reflect.Slice {
+			element = element.Elem()
+		}
+		if element.Kind() == reflect.Struct {
+			keys = append(keys, valueKeys(element)...)
+		} else {
+			keys = append(keys, field.Tag.Get("toml"))
+		}
+	}
+	return keys
+}
+
 // TestUnknownSettingsOfAnotherCase guards against a field of the settings file that the controller
 // does not know, and whose name differs from that of a known one in case only, being taken for it:
 // it would move the controller's addresses or limits, or end the controller.
 func TestUnknownSettingsOfAnotherCase(t *testing.T) {
-	text := strings.Replace(settings, "txn_ops = 8\n", "txn_ops = 8\n[cluster.state.next]\nvalue_kb = 4.0\n", 1)
+	text := allSettings
 	want, err := ParseSettings("file.toml", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
 	lines := strings.Split(text, "\n")
-	fields := 0
+	keys := map[string]bool{}
 	for i, line := range lines {
 		key, _, found := strings.Cut(line, " = ")
 		if !found {
 			continue
 		}
-		fields++
+		keys[key] = true
 		for _, name := range []string{strings.ToUpper(key), strings.ToUpper(key[:1]) + key[1:]} {
 			for _, value := range otherSettingValues {
 				other := fmt.Sprintf("%s = %s", name, value)
@@ -38,9 +74,10 @@
 			}
 		}
 	}
-	const minFields = 20
-	if fields < minFields {
-		t.Errorf("%d fields, want at least %d", fields, minFields)
+	for _, key := range valueKeys(reflect.TypeFor[Settings]()) {
+		if !keys[key] {
+			t.Errorf("the settings of the test have no line with %s", key)
+		}
 	}
 }
 
